Lay out the module, messages between nodes, and the checks

Cause: nothing existed; the packages need fixed messages and shared types before they can be written apart. Conclusion: the base for the thin path.

--- /dev/null
+++ b/internal/blackboard/section.go
@@ -0,0 +1,56 @@
+// Package blackboard holds the sections through which controllers exchange state.
+//
+// A section has one writer and any number of readers. A published value is
+// immutable. Readers load it through an atomic pointer and take no lock;
+// controllers wait for the next change on a channel.
+package blackboard
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Section is one typed, versioned value of the blackboard.
+type Section[T any] struct {
+	current atomic.Pointer[versioned[T]]
+	mu      sync.Mutex
+}
+
+// versioned is one published value and the channel closed by its successor.
+type versioned[T any] struct {
+	value   *T
+	version uint64
+	changed chan struct{}
+}
+
+// NewSection returns a section that holds initial as version 0.
+func NewSection[T any](initial *T) *Section[T] {
+	s := &Section[T]{}
+	s.current.Store(&versioned[T]{value: initial, changed: make(chan struct{})})
+	return s
+}
+
+// Load returns the current value. The caller must not modify it.
+func (s *Section[T]) Load() *T {
+	return s.current.Load().value
+}
+
+// Version returns the number of values published so far.
+func (s *Section[T]) Version() uint64 {
+	return s.current.Load().version
+}
+
+// Publish replaces the value and wakes everyone who waits on Watch.
+func (s *Section[T]) Publish(value *T) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.current.Load()
+	s.current.Store(&versioned[T]{value: value, version: old.version + 1, changed: make(chan struct{})})
+	close(old.changed)
+}
+
+// Watch returns the current value and a channel that is closed when a newer one is published.
+func (s *Section[T]) Watch() (*T, <-chan struct{}) {
+	v := s.current.Load()
+	return v.value, v.changed
+}
--- /dev/null
+++ b/internal/outcome/outcome.go
@@ -0,0 +1,182 @@
+// Package outcome defines the refusals that the system makes itself, as values.
+//
+// A refusal carries a stable code, whether the work ran, and when to come back.
+// The catalogue in this package is the only place where codes are defined;
+// docs/REFUSALS.md lists the same codes.
+package outcome
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// Ran states whether the work of a request was started at a target.
+type Ran string
+
+// The three values of Ran. RanNo is used only with proof.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Code is the stable name of a refusal.
+type Code string
+
+// The refusal codes.
+const (
+	KeyMissing         Code = "key-missing"
+	KeyUnknown         Code = "key-unknown"
+	KeyWithdrawn       Code = "key-withdrawn"
+	RouteUnknown       Code = "route-unknown"
+	MethodNotAllowed   Code = "method-not-allowed"
+	BadRequest         Code = "bad-request"
+	BodyTooLarge       Code = "body-too-large"
+	RateExceeded       Code = "rate-exceeded"
+	RateUnavailable    Code = "rate-unavailable"
+	Overloaded         Code = "overloaded"
+	QueueFull          Code = "queue-full"
+	Evicted            Code = "evicted"
+	DeadlineTooShort   Code = "deadline-too-short"
+	DeadlineExceeded   Code = "deadline-exceeded"
+	Cancelled          Code = "cancelled"
+	NoTarget           Code = "no-target"
+	TargetLeaving      Code = "target-leaving"
+	TargetFailed       Code = "target-failed"
+	OutcomeUnknown     Code = "outcome-unknown"
+	StaleConfiguration Code = "stale-configuration"
+	HandleUnknown      Code = "handle-unknown"
+	IdempotencyReused  Code = "idempotency-key-reused"
+	RunRecordsFull     Code = "run-records-full"
+	RunRecordsAway     Code = "run-records-unavailable"
+	AnswerTooLarge     Code = "answer-not-recorded"
+	NodeStopping       Code = "node-stopping"
+)
+
+// entry is the fixed part of a refusal code.
+type entry struct {
+	status int
+	title  string
+}
+
+var catalogue = map[Code]entry{
+	KeyMissing:         {http.StatusUnauthorized, "The request carries no key"},
+	KeyUnknown:         {http.StatusUnauthorized, "The key is not known"},
+	KeyWithdrawn:       {http.StatusUnauthorized, "The key was withdrawn"},
+	RouteUnknown:       {http.StatusNotFound, "No route matches the request"},
+	MethodNotAllowed:   {http.StatusMethodNotAllowed, "The route does not accept the method"},
+	BadRequest:         {http.StatusBadRequest, "The request is malformed"},
+	BodyTooLarge:       {http.StatusRequestEntityTooLarge, "The body exceeds the limit of the route"},
+	RateExceeded:       {http.StatusTooManyRequests, "The organisation is over its rate"},
+	RateUnavailable:    {http.StatusServiceUnavailable, "Rate tokens can't be obtained at the moment"},
+	Overloaded:         {http.StatusServiceUnavailable, "The service is overloaded"},
+	QueueFull:          {http.StatusServiceUnavailable, "The queue of the target is full"},
+	Evicted:            {http.StatusServiceUnavailable, "A more important request took the place in the queue"},
+	DeadlineTooShort:   {http.StatusServiceUnavailable, "The deadline can't be met"},
+	DeadlineExceeded:   {http.StatusGatewayTimeout, "The deadline has passed"},
+	Cancelled:          {499, "The caller cancelled the request"},
+	NoTarget:           {http.StatusServiceUnavailable, "No target is available"},
+	TargetLeaving:      {http.StatusServiceUnavailable, "The target takes no new work"},
+	TargetFailed:       {http.StatusBadGateway, "The target failed"},
+	OutcomeUnknown:     {http.StatusBadGateway, "The outcome of the request is not known"},
+	StaleConfiguration: {http.StatusServiceUnavailable, "The configuration can't be confirmed at the moment"},
+	HandleUnknown:      {http.StatusForbidden, "The handle names no running request"},
+	IdempotencyReused:  {http.StatusUnprocessableEntity, "The idempotency key was used with another request"},
+	RunRecordsFull:     {http.StatusServiceUnavailable, "No room for another run record"},
+	RunRecordsAway:     {http.StatusServiceUnavailable, "Run records can't be reached at the moment"},
+	AnswerTooLarge:     {http.StatusConflict, "The request ran, but its answer was too large to record"},
+	NodeStopping:       {http.StatusServiceUnavailable, "The node is stopping"},
+}
+
+// Codes returns every code of the catalogue in no particular order.
+func Codes() []Code {
+	codes := make([]Code, 0, len(catalogue))
+	for code := range catalogue {
+		codes = append(codes, code)
+	}
+	return codes
+}
+
+// Status returns the HTTP status of the code, or 500 for a code outside the catalogue.
+func (c Code) Status() int {
+	if e, ok := catalogue[c]; ok {
+		return e.status
+	}
+	return http.StatusInternalServerError
+}
+
+// Title returns the human-readable summary of the code.
+func (c Code) Title() string {
+	return catalogue[c].title
+}
+
+// Refusal is an answer that the system made itself.
+type Refusal struct {
+	Code Code
+	Ran  Ran
+	// RetryAfter is the time after which another try makes sense; 0 if none is known.
+	RetryAfter time.Duration
+	Detail     string
+	// Retried is true when a hop below has already tried again.
+	Retried bool
+}
+
+// NotRun returns a refusal of work that was provably not started.
+func NotRun(code Code, retryAfter time.Duration, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Ran: RanNo, RetryAfter: retryAfter, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error makes a refusal usable where an error is expected.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (ran: %s): %s", r.Code, r.Ran, r.Detail)
+}
+
+// Message returns the refusal as it travels between nodes.
+func (r *Refusal) Message() *apiv1.Refusal {
+	return &apiv1.Refusal{
+		Code:         string(r.Code),
+		Ran:          r.Ran.Message(),
+		RetryAfterNs: int64(r.RetryAfter),
+		Detail:       r.Detail,
+		Retried:      r.Retried,
+	}
+}
+
+// FromMessage returns the refusal that a message carries.
+func FromMessage(m *apiv1.Refusal) *Refusal {
+	return &Refusal{
+		Code:       Code(m.GetCode()),
+		Ran:        RanFromMessage(m.GetRan()),
+		RetryAfter: time.Duration(m.GetRetryAfterNs()),
+		Detail:     m.GetDetail(),
+		Retried:    m.GetRetried(),
+	}
+}
+
+// Message returns the value as it travels between nodes.
+func (r Ran) Message() apiv1.Ran {
+	switch r {
+	case RanNo:
+		return apiv1.Ran_RAN_NO
+	case RanYes:
+		return apiv1.Ran_RAN_YES
+	default:
+		return apiv1.Ran_RAN_UNKNOWN
+	}
+}
+
+// RanFromMessage returns the value that a message carries. Values that this
+// version does not know count as unknown.
+func RanFromMessage(m apiv1.Ran) Ran {
+	switch m {
+	case apiv1.Ran_RAN_NO:
+		return RanNo
+	case apiv1.Ran_RAN_YES:
+		return RanYes
+	default:
+		return RanUnknown
+	}
+}
