--- /dev/null
+++ b/internal/config/decode.go
@@ -0,0 +1,132 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// fieldReport receives one fault with the node that holds it.
+type fieldReport func(node *yaml.Node, field, format string, args ...any)
+
+// decodeNode reads the spec of one kind from a YAML node and reports unknown,
+// duplicate and ill-typed fields. It returns the node of each field that is present.
+func decodeNode(into spec, node *yaml.Node, report fieldReport) map[string]*yaml.Node {
+	places := map[string]*yaml.Node{}
+	if node == nil || node.Kind == 0 {
+		return places
+	}
+	if node.Kind != yaml.MappingNode {
+		report(node, "", "must be a mapping of fields")
+		return places
+	}
+	fields := specFields(into)
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key, value := node.Content[i], node.Content[i+1]
+		target, known := fields[key.Value]
+		switch {
+		case !known:
+			report(key, key.Value, "unknown field; allowed: %s", strings.Join(sortedKeys(fields), ", "))
+		case places[key.Value] != nil:
+			report(key, key.Value, "is given twice")
+		default:
+			places[key.Value] = value
+			if err := value.Decode(target.Addr().Interface()); err != nil {
+				report(value, key.Value, "%s", decodeFault(err))
+			}
+		}
+	}
+	return places
+}
+
+// specFields returns the settable fields of a spec by their names in a document.
+func specFields(into spec) map[string]reflect.Value {
+	value := reflect.ValueOf(into).Elem()
+	fields := make(map[string]reflect.Value, value.NumField())
+	for i := range value.NumField() {
+		name := value.Type().Field(i).Tag.Get("yaml")
+		fields[name] = value.Field(i)
+	}
+	return fields
+}
+
+// decodeFault returns the message of a YAML decoding error without the library's prefix and line.
+func decodeFault(err error) string {
+	var typed *yaml.TypeError
+	if errors.As(err, &typed) && len(typed.Errors) > 0 {
+		_, message, found := strings.Cut(typed.Errors[0], ": ")
+		if found {
+			return message
+		}
+	}
+	return strings.TrimPrefix(err.Error(), "yaml: ")
+}
+
+// decodeResource reads the spec of a stored document. Faults carry no line.
+func decodeResource(r *apiv1.Resource) (spec, Problems) {
+	problem := Problem{Kind: r.GetKind(), Name: r.GetName()}
+	decoded := newSpec(r.GetKind())
+	if decoded == nil {
+		problem.Field = "kind"
+		problem.Message = unknownKind(r.GetKind())
+		return nil, Problems{problem}
+	}
+	problems := headProblems(r)
+	if err := decodeJSON(r.GetSpec(), decoded); err != nil {
+		problem.Field = "spec"
+		problem.Message = err.Error()
+		return nil, append(problems, problem)
+	}
+	decoded.check(func(field, format string, args ...any) {
+		problem.Field = "spec." + field
+		problem.Message = fmt.Sprintf(format, args...)
+		problems = append(problems, problem)
+	})
+	return decoded, problems
+}
+
+// decodeJSON reads exactly one JSON value without unknown fields.
+func decodeJSON(data []byte, into any) error {
+	if len(data) == 0 {
+		return nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return errors.WithMessage(err, "is not valid")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return errors.New("holds more than one value")
+	}
+	return nil
+}
+
+// headProblems reports faults of a document outside its spec.
+func headProblems(r *apiv1.Resource) Problems {
+	problem := Problem{Kind: r.GetKind(), Name: r.GetName()}
+	var problems Problems
+	if !validName(r.GetName()) {
+		problem.Field = "name"
+		problem.Message = fmt.Sprintf("%q is not a name; allowed: %s", r.GetName(), nameRule)
+		problems = append(problems, problem)
+	}
+	for _, fault := range labelFaults(r.GetLabels()) {
+		problem.Field = "labels"
+		problem.Message = fault
+		problems = append(problems, problem)
+	}
+	return problems
+}
+
+// unknownKind returns the message for a kind that does not exist.
+func unknownKind(kind string) string {
+	return fmt.Sprintf("%q is not a kind; allowed: %s", kind, strings.Join(Kinds(), ", "))
+}
--- /dev/null
+++ b/internal/config/target.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"strings"
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+)
+
+// anyService in a Target document stands for every service.
+const anyService = "*"
+
+// TargetPolicy is what applies to one target.
+type TargetPolicy struct {
+	// Labels are the announced labels and the operators'; the latter replace those of the same key.
+	Labels labels.Set
+	// Slots is the number of requests that may run at once; 0 if neither side names one.
+	Slots int
+	// ColdStart is the time over which a started target takes up its full share.
+	ColdStart time.Duration
+	// Draining is true while the target must take no new work.
+	Draining bool
+	// MaxConnections caps the connections to the target; 0 means no cap.
+	MaxConnections int
+}
+
+// targetDocument is one compiled Target document.
+type targetDocument struct {
+	name string
+	spec *TargetSpec
+}
+
+func newTargetDocument(d document[*TargetSpec]) *targetDocument {
+	return &targetDocument{name: d.name, spec: d.spec}
+}
+
+// compareTargetDocuments puts documents by selector before those by name, so that
+// the latter have the last word, and orders each by document name.
+func compareTargetDocuments(a, b *targetDocument) int {
+	if (a.spec.Target == "") != (b.spec.Target == "") {
+		return boolOrder(a.spec.Target == "")
+	}
+	return strings.Compare(a.name, b.name)
+}
+
+// matches returns true when the document applies to a target.
+func (d *targetDocument) matches(name string, announced labels.Set) bool {
+	if d.spec.Target != "" {
+		return d.spec.Target == name
+	}
+	return d.spec.Selector.Matches(announced)
+}
+
+// TargetPolicy returns what applies to a target. The announced labels must include
+// LabelNode and LabelDataCentre. Documents for every service apply first, then those
+// of the service; within each, documents by selector before those by name, each in
+// order of their names. A later document replaces the fields that it sets; a drain
+// by any document counts. Slots only lower what the target announced.
+func (s *Snapshot) TargetPolicy(service, name string, announced labels.Set, announcedSlots int) TargetPolicy {
+	policy := TargetPolicy{Labels: announced, Slots: announcedSlots}
+	slots := 0
+	for _, scope := range []string{anyService, service} {
+		for _, d := range s.targets[scope] {
+			if !d.matches(name, announced) {
+				continue
+			}
+			policy.apply(d.spec)
+			if d.spec.Slots != nil {
+				slots = *d.spec.Slots
+			}
+		}
+	}
+	if slots > 0 && (announcedSlots <= 0 || slots < announcedSlots) {
+		policy.Slots = slots
+	}
+	return policy
+}
+
+// apply takes over the fields that a document sets, except the slots.
+func (p *TargetPolicy) apply(spec *TargetSpec) {
+	if len(spec.Labels) > 0 {
+		p.Labels = labels.Merge(p.Labels, spec.Labels)
+	}
+	if spec.ColdStart != nil {
+		p.ColdStart = time.Duration(*spec.ColdStart)
+	}
+	if spec.MaxConnections != nil {
+		p.MaxConnections = *spec.MaxConnections
+	}
+	p.Draining = p.Draining || spec.Drain
+}
