--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,65 @@
+package keys
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// issue draws a key and gives it a number.
+func issue(t *testing.T, organisation string, number uint64) (string, *apiv1.KeyRecord) {
+	t.Helper()
+	secret, rec, err := Issue(organisation)
+	require.NoError(t, err)
+	rec.Number = number
+	return Format(number, secret), rec
+}
+
+func TestVerify(t *testing.T) {
+	first, firstRec := issue(t, "court", 1)
+	second, secondRec := issue(t, "clinic", 300)
+	table := NewTable([]*apiv1.KeyRecord{firstRec, secondRec})
+
+	rec, status := table.Verify(second)
+	require.Equal(t, Valid, status)
+	require.Equal(t, Record{Number: 300, Organisation: "clinic"}, rec)
+
+	other, _ := issue(t, "court", 1)
+	for key, want := range map[string]Status{
+		other:                           Unknown,
+		"gf_2" + first[len("gf_1"):]:    Unknown,
+		"gf_9999" + first[len("gf_1"):]: Unknown,
+		"gf_01" + first[len("gf_1"):]:   Malformed,
+		"gf_0" + first[len("gf_1"):]:    Malformed,
+		first + "x":                     Malformed,
+		first[:len(first)-1] + "!":      Malformed,
+		"":                              Malformed,
+		"gf_1":                          Malformed,
+	} {
+		_, status := table.Verify(key)
+		require.Equal(t, want, status, key)
+	}
+}
+
+func TestWithLeavesTheOldTableAlone(t *testing.T) {
+	key, rec := issue(t, "court", 1)
+	before := NewTable([]*apiv1.KeyRecord{rec})
+	next, nextRec := issue(t, "clinic", 2)
+	after := before.With([]*apiv1.KeyRecord{nextRec}, []uint64{1, 77})
+
+	_, status := before.Verify(key)
+	require.Equal(t, Valid, status)
+	_, status = before.Verify(next)
+	require.Equal(t, Unknown, status)
+	_, status = after.Verify(key)
+	require.Equal(t, Withdrawn, status)
+	_, status = after.Verify(next)
+	require.Equal(t, Valid, status)
+	require.True(t, after.Withdrawn(1))
+	require.False(t, after.Withdrawn(0))
+	require.False(t, after.Withdrawn(77), "a number that was never issued can't be withdrawn")
+	issued, withdrawn := after.Len()
+	require.Equal(t, []int{2, 1}, []int{issued, withdrawn})
+}
