Add the settings of a node as flags and environment variables

Cause: a process learns its addresses and data centre from its settings. Change: one list of flags with variables GUAVAFORD_...; Node.Check reports every fault at once with the setting's name, value and what is allowed. Shown by: go test ./internal/settings passes.

--- /dev/null
+++ b/internal/settings/flags.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// The names of the flags.
+const (
+	flagName              = "name"
+	flagDataCentre        = "data-centre"
+	flagRegion            = "region"
+	flagCallersAddress    = "callers-address"
+	flagTargetsAddress    = "targets-address"
+	flagOperatorAddress   = "operator-address"
+	flagPeerAddress       = "peer-address"
+	flagDataFolder        = "data-folder"
+	flagNoControl         = "no-control"
+	flagControl           = "control"
+	flagInitialReplicas   = "initial-replicas"
+	flagFleetSecretFile   = "fleet-secret-file"
+	flagOperatorTokenFile = "operator-token-file"
+	flagFreshnessLimit    = "freshness-limit"
+	flagAnnouncementTTL   = "announcement-ttl"
+	flagStopTimeout       = "stop-timeout"
+	flagLogLevel          = "log-level"
+)
+
+// Flags returns the flags that write into n. The values of n are the defaults.
+func (n *Node) Flags() []cli.Flag {
+	return []cli.Flag{
+		text(flagName, &n.Name, "name of this node, unique in the fleet; made from --peer-address when empty"),
+		text(flagDataCentre, &n.DataCentre, "data centre of this host"),
+		text(flagRegion, &n.Region, "region of this host"),
+		text(flagCallersAddress, &n.CallersAddress, "IP number and port for callers"),
+		text(flagTargetsAddress, &n.TargetsAddress, "IP number and port for the targets of this host"),
+		text(flagOperatorAddress, &n.OperatorAddress, "IP number and port for operators"),
+		text(flagPeerAddress, &n.PeerAddress, "IP number and port for other nodes, as they reach it"),
+		text(flagDataFolder, &n.DataFolder, "folder of everything that the process keeps"),
+		&cli.BoolFlag{Name: flagNoControl, Destination: &n.NoControl, Value: n.NoControl, Sources: source(flagNoControl),
+			Usage: "run without a control replica"},
+		list(flagControl, &n.Control, "peer addresses of control replicas, separated by commas"),
+		list(flagInitialReplicas, &n.InitialReplicas, "peer addresses of the first control replicas of a new fleet, separated by commas"),
+		text(flagFleetSecretFile, &n.FleetSecretFile, "file with the secret that all nodes share; made in the data folder when empty"),
+		text(flagOperatorTokenFile, &n.OperatorTokenFile, "file with the operators' token; made in the data folder when empty"),
+		n.duration(flagFreshnessLimit, &n.FreshnessLimit, "age of the confirmed configuration past which requests with a key are refused"),
+		n.duration(flagAnnouncementTTL, &n.AnnouncementTTL, "time without a renewal after which a target counts as gone"),
+		n.duration(flagStopTimeout, &n.StopTimeout, "longest time that a planned stop waits for running requests"),
+		text(flagLogLevel, &n.LogLevel, "debug, info, warn or error"),
+	}
+}
+
+// source returns the environment variable of a flag.
+func source(flag string) cli.ValueSourceChain {
+	return cli.EnvVars(Variable(flag))
+}
+
+func text(name string, destination *string, usage string) cli.Flag {
+	return &cli.StringFlag{Name: name, Destination: destination, Value: *destination, Usage: usage, Sources: source(name)}
+}
+
+func list(name string, destination *[]string, usage string) cli.Flag {
+	value := &listValue{destination}
+	return &cli.GenericFlag{Name: name, Value: value, Usage: usage, Sources: source(name), DefaultText: value.String()}
+}
+
+func (n *Node) duration(name string, destination *time.Duration, usage string) cli.Flag {
+	value := &durationValue{name: name, destination: destination, faults: &n.parseFaults}
+	return &cli.GenericFlag{Name: name, Value: value, Usage: usage, Sources: source(name), DefaultText: value.String()}
+}
+
+// listValue reads a list that is separated by commas. A later flag replaces an earlier one.
+type listValue struct {
+	destination *[]string
+}
+
+// Set reads the list.
+func (v *listValue) Set(s string) error {
+	var values []string
+	for _, value := range strings.Split(s, ",") {
+		if trimmed := strings.TrimSpace(value); trimmed != "" {
+			values = append(values, trimmed)
+		}
+	}
+	*v.destination = values
+	return nil
+}
+
+// String returns the list as Set reads it.
+func (v *listValue) String() string {
+	if v.destination == nil {
+		return ""
+	}
+	return strings.Join(*v.destination, ",")
+}
+
+// Get returns the list.
+func (v *listValue) Get() any { return *v.destination }
+
+// durationValue reads a duration and keeps a fault for Check, so that all are reported at once.
+type durationValue struct {
+	name        string
+	destination *time.Duration
+	faults      *Problems
+}
+
+// Set reads the duration. It never fails: Check reports what can't be read.
+func (v *durationValue) Set(s string) error {
+	parsed, err := time.ParseDuration(s)
+	if err != nil {
+		*v.faults = append(*v.faults, Problem{v.name, s, "a duration with its unit, such as 4s or 500ms"})
+		return nil
+	}
+	*v.destination = parsed
+	return nil
+}
+
+// String returns the duration as Set reads it.
+func (v *durationValue) String() string {
+	if v.destination == nil {
+		return ""
+	}
+	return v.destination.String()
+}
+
+// Get returns the duration.
+func (v *durationValue) Get() any { return *v.destination }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/urfave/cli/v3"
+)
+
+// parse reads flags as the command line does.
+func parse(t *testing.T, args ...string) *Node {
+	t.Helper()
+	n := Default()
+	command := &cli.Command{Name: "node", Flags: n.Flags(), Action: func(context.Context, *cli.Command) error { return nil }}
+	require.NoError(t, command.Run(context.Background(), append([]string{"node"}, args...)))
+	return n
+}
+
+func TestDefaultsAreValid(t *testing.T) {
+	n := parse(t)
+	require.Empty(t, n.Check())
+	require.Equal(t, "node-127.0.0.1-8083", n.Name)
+}
+
+func TestFlagGoesBeforeVariable(t *testing.T) {
+	t.Setenv("GUAVAFORD_FRESHNESS_LIMIT", "3s")
+	t.Setenv("GUAVAFORD_CONTROL", "10.0.0.1:1, 10.0.0.2:1")
+	require.Equal(t, 3*time.Second, parse(t).FreshnessLimit)
+	n := parse(t, "--freshness-limit", "2s")
+	require.Equal(t, 2*time.Second, n.FreshnessLimit)
+	require.Equal(t, []string{"10.0.0.1:1", "10.0.0.2:1"}, n.Control)
+}
+
+func TestAllFaultsAreReportedAtOnce(t *testing.T) {
+	t.Setenv("GUAVAFORD_STOP_TIMEOUT", "1h1s")
+	n := parse(t, "--callers-address", "localhost:80", "--peer-address", "0.0.0.0:1", "--freshness-limit", "soon",
+		"--operator-address", "127.0.0.1:8081", "--no-control", "--log-level", "loud", "--data-centre", "a b")
+	faulty := map[string]string{}
+	for _, p := range n.Check() {
+		faulty[p.Setting] = p.Value
+	}
+	require.Equal(t, map[string]string{
+		"callers-address": "localhost:80", "peer-address": "0.0.0.0:1", "freshness-limit": "soon",
+		"operator-address": "127.0.0.1:8081", "control": "", "log-level": "loud", "data-centre": "a b",
+		"stop-timeout": "1h0m1s",
+	}, faulty)
+}
