Admit by class, depth, fair share and deadline under an adaptive limit

Cause: the thin gate had a fixed limit and one FIFO queue. Change: a pure core decides on arrivals, ends, cancellations and expiry; the queue orders by class, depth, organisation (weighted) and deadline and evicts the least important; cutoffs for each organisation are steered so that admitted demand matches what the target finishes.

--- /dev/null
+++ b/internal/admission/core.go
@@ -0,0 +1,319 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/guavaford/guavaford/internal/outcome"
+)
+
+const (
+	// MaxQueueTime is the time for which a request may queue; a queue that drains in less
+	// time than that is never full.
+	MaxQueueTime = 100 * time.Millisecond
+	// coldShare is the share of the limit that a cold target takes at its start.
+	coldShare = 0.1
+	// floorQuantile is the quantile of the service time that a deadline must leave room
+	// for. A low one keeps quick requests of a mixed load from being refused.
+	floorQuantile = 0.1
+	// floorGain is the step of the quantile's estimate, as a share of the mean.
+	floorGain = 0.05
+	// minRetryAfter and maxRetryAfter bound the time that a refused caller is told to wait.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// Verdict is the immediate decision on an arrival.
+type Verdict int
+
+// The verdicts.
+const (
+	Started Verdict = iota
+	Queued
+	Refused
+)
+
+// Decision is the outcome of an arrival or of a queued request.
+type Decision struct {
+	Verdict Verdict
+	// Refusal is set when the verdict is Refused.
+	Refusal *outcome.Refusal
+}
+
+// Ready is the decision on a request that was queued: Started or Refused.
+type Ready struct {
+	Waiter *Waiter
+	Decision
+}
+
+// Core is the state machine of a gate. It is not safe for concurrent use.
+type Core struct {
+	config   Config
+	variant  Variant
+	limiter  limiter
+	shedder  *shedder
+	queue    queue
+	hold     latency
+	floor    time.Duration
+	inFlight int
+	draining bool
+	ready    []Ready
+}
+
+// Variant selects among decisions that are being compared.
+type Variant struct {
+	Limit Algorithm
+	// FIFO ignores depth, organisation and deadline within a class.
+	FIFO bool
+	// NoCutoffs turns early shedding off.
+	NoCutoffs bool
+}
+
+// NewCore returns the state machine for the target that c describes.
+func NewCore(c Config) *Core {
+	return NewVariant(c, Variant{})
+}
+
+// NewVariant returns a state machine with other decisions than the default ones.
+func NewVariant(c Config, v Variant) *Core {
+	return &Core{config: c, limiter: newLimiter(v.Limit), shedder: newShedder(), variant: v}
+}
+
+// Configure replaces the description of the target.
+func (c *Core) Configure(now time.Time, config Config) {
+	c.config = config
+	c.dispatch(now)
+}
+
+// SetDraining refuses all new work from now on, or takes it again. Queued requests still run.
+func (c *Core) SetDraining(draining bool) {
+	c.draining = draining
+}
+
+// Arrive decides on a request. A queued one is decided later by Ready.
+func (c *Core) Arrive(now time.Time, w *Waiter) Decision {
+	if c.draining {
+		return refuse(outcome.TargetLeaving, 0, "the target takes no new work")
+	}
+	c.shedder.arrived(now, &w.Request)
+	c.roll(now)
+	if c.queue.length > 0 {
+		c.dispatch(now)
+	}
+	if c.tooLate(now, &w.Request) {
+		return refuse(outcome.DeadlineTooShort, 0, "less time is left than the service takes")
+	}
+	if c.queue.length == 0 && c.inFlight < c.limit(now) {
+		c.inFlight++
+		return Decision{Verdict: Started}
+	}
+	return c.enqueue(now, w)
+}
+
+// enqueue queues a request, or refuses it or a less important one.
+func (c *Core) enqueue(now time.Time, w *Waiter) Decision {
+	if cutoff := c.cutoff(w.Organisation); cutoff != 0 && w.Level >= cutoff {
+		return refuse(outcome.Overloaded, c.retryAfter(now), "the target sheds requests of this level")
+	}
+	wait := c.drainTime(now, c.queue.ahead(w.Priority)+1)
+	if !w.Deadline.IsZero() && now.Add(wait+c.floor).After(w.Deadline) {
+		c.shedder.refused++
+		return refuse(outcome.DeadlineTooShort, c.retryAfter(now), "the queue is longer than the time left")
+	}
+	w.queued = now
+	w.GiveUp = c.giveUp(now, w)
+	c.queue.push(w, c.variant.FIFO)
+	if c.queue.length <= c.queueCap(now) {
+		return Decision{Verdict: Queued}
+	}
+	c.shedder.refused++
+	worst := c.queue.worst()
+	c.queue.remove(worst)
+	if worst == w {
+		return refuse(outcome.QueueFull, c.retryAfter(now), "the queue of the target is full")
+	}
+	c.decide(worst, refuse(outcome.Evicted, c.retryAfter(now), "a more important request took the place"))
+	return Decision{Verdict: Queued}
+}
+
+// giveUp returns when a request queued now is refused if it has not started.
+func (c *Core) giveUp(now time.Time, w *Waiter) time.Time {
+	at := now.Add(max(MaxQueueTime, 2*c.drainTime(now, c.queueCap(now))))
+	if w.Deadline.IsZero() {
+		return at
+	}
+	if latest := w.Deadline.Add(-c.floor); latest.Before(at) {
+		return latest
+	}
+	return at
+}
+
+// Cancel removes a queued request whose caller has gone. It returns false when the request
+// has been decided already.
+func (c *Core) Cancel(w *Waiter) bool {
+	return c.queue.remove(w)
+}
+
+// Expire refuses a queued request that has reached its GiveUp time.
+func (c *Core) Expire(now time.Time, w *Waiter) {
+	if !c.queue.remove(w) {
+		return
+	}
+	c.shedder.refused++
+	c.decide(w, refuse(outcome.DeadlineTooShort, c.retryAfter(now), "queued for too long"))
+}
+
+// Finish frees the slot of a request that started at started.
+func (c *Core) Finish(now, started time.Time, res Result) {
+	c.observe(now, now.Sub(started), res)
+	c.inFlight--
+	c.shedder.finished++
+	c.roll(now)
+	c.dispatch(now)
+}
+
+// observe learns from the time that a request held its slot.
+func (c *Core) observe(now time.Time, held time.Duration, res Result) {
+	switch res.Kind {
+	case Success:
+		c.hold.add(now, held)
+		c.learnFloor(held)
+	case TimedOut, Cancelled:
+		c.hold.atLeast(now, held)
+	}
+	c.limiter.sample(limitSample{
+		now:      now,
+		own:      max(held-res.Downstream, 0),
+		inFlight: c.inFlight,
+		slots:    c.config.Slots,
+		kind:     res.Kind,
+	})
+}
+
+// learnFloor moves the estimate of the low quantile of the service time.
+func (c *Core) learnFloor(held time.Duration) {
+	if c.hold.samples == 1 || held < c.floor/2 {
+		c.floor = held
+		return
+	}
+	step := floorGain * float64(c.hold.mean)
+	if held < c.floor {
+		c.floor -= time.Duration(step * (1 - floorQuantile))
+	} else {
+		c.floor += time.Duration(step * floorQuantile)
+	}
+}
+
+// Ready returns the decisions on queued requests since the last call. The slice is valid
+// until the next event.
+func (c *Core) Ready() []Ready {
+	ready := c.ready
+	c.ready = c.ready[:0]
+	return ready
+}
+
+// Load returns the state that is reported to callers of an organisation.
+func (c *Core) Load(now time.Time, organisation string) Load {
+	return Load{
+		InFlight: c.inFlight,
+		Queued:   c.queue.length,
+		Limit:    c.limit(now),
+		Cutoff:   c.cutoff(organisation),
+		Latency:  c.hold.at(now),
+		Draining: c.draining,
+	}
+}
+
+// cutoff returns the first level of an organisation that is refused; 0 means none.
+func (c *Core) cutoff(organisation string) uint32 {
+	if c.variant.NoCutoffs {
+		return 0
+	}
+	return c.shedder.cutoff(organisation)
+}
+
+// dispatch starts queued requests while slots are free.
+func (c *Core) dispatch(now time.Time) {
+	for limit := c.limit(now); c.inFlight < limit; {
+		w := c.queue.pop()
+		if w == nil {
+			return
+		}
+		if c.tooLate(now, &w.Request) {
+			c.shedder.refused++
+			c.decide(w, refuse(outcome.DeadlineTooShort, c.retryAfter(now), "queued until less time is left than the service takes"))
+			continue
+		}
+		c.inFlight++
+		c.decide(w, Decision{Verdict: Started})
+	}
+}
+
+// decide records the decision on a request that has left the queue.
+func (c *Core) decide(w *Waiter, d Decision) {
+	c.ready = append(c.ready, Ready{Waiter: w, Decision: d})
+}
+
+// roll lets the shedder end its window.
+func (c *Core) roll(now time.Time) {
+	if !c.shedder.due(now) {
+		return
+	}
+	c.shedder.roll(now, gateUse{
+		inFlight: c.inFlight,
+		limit:    c.limit(now),
+		queued:   c.queue.length,
+		queueCap: c.queueCap(now),
+	})
+}
+
+// limit returns how many requests may run now, cold start included.
+func (c *Core) limit(now time.Time) int {
+	limit := c.limiter.limit(c.config.Slots)
+	age := now.Sub(c.config.Started)
+	if c.config.ColdStart <= 0 || age >= c.config.ColdStart {
+		return limit
+	}
+	warm := max(float64(age)/float64(c.config.ColdStart), 0)
+	share := coldShare + (1-coldShare)*warm
+	return max(int(math.Ceil(share*float64(limit))), 1)
+}
+
+// queueCap returns how many requests may queue: what drains within MaxQueueTime, and no less
+// than the chance fluctuation of as many requests as the limit.
+func (c *Core) queueCap(now time.Time) int {
+	limit := float64(c.limit(now))
+	fluctuation := 2 + 2*math.Sqrt(limit)
+	hold := c.hold.at(now)
+	if hold <= 0 {
+		return int(max(limit, fluctuation))
+	}
+	return int(max(limit*float64(MaxQueueTime)/float64(hold), fluctuation))
+}
+
+// drainTime returns the expected time until n queued requests have started.
+func (c *Core) drainTime(now time.Time, n int) time.Duration {
+	return time.Duration(float64(n) * float64(c.hold.at(now)) / float64(c.limit(now)))
+}
+
+// tooLate reports whether the deadline leaves less time than even a quick request takes.
+func (c *Core) tooLate(now time.Time, r *Request) bool {
+	if r.Deadline.IsZero() {
+		return false
+	}
+	floor := min(c.floor, c.hold.at(now))
+	return now.Add(floor).After(r.Deadline) || !now.Before(r.Deadline)
+}
+
+// retryAfter returns when another try makes sense.
+func (c *Core) retryAfter(now time.Time) time.Duration {
+	return min(max(2*c.drainTime(now, c.queue.length), minRetryAfter), maxRetryAfter)
+}
+
+// refuse returns the decision to refuse a request that was not started.
+func refuse(code outcome.Code, retryAfter time.Duration, detail string) Decision {
+	return Decision{
+		Verdict: Refused,
+		Refusal: &outcome.Refusal{Code: code, Ran: outcome.RanNo, RetryAfter: retryAfter, Detail: detail},
+	}
+}
--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,152 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/outcome"
+)
+
+// Gate admits requests to one target. It is safe for concurrent use.
+type Gate struct {
+	clock   clock.Clock
+	waiters sync.Pool
+
+	mu   sync.Mutex
+	core *Core
+}
+
+// NewGate returns a gate for the target that c describes.
+func NewGate(c Config, clk clock.Clock) *Gate {
+	return &Gate{
+		clock: clk,
+		core:  NewCore(c),
+		waiters: sync.Pool{New: func() any {
+			return &Waiter{decided: make(chan Decision, 1)}
+		}},
+	}
+}
+
+// Permit is the right to run one request at the target. It must be released once.
+type Permit struct {
+	gate    *Gate
+	started time.Time
+}
+
+// Acquire waits until the request may run. A refusal means that it was not started. The end
+// of ctx removes a queued request at once.
+func (g *Gate) Acquire(ctx context.Context, r Request) (Permit, *outcome.Refusal) {
+	if ctx.Err() != nil {
+		return Permit{}, cancelled(ctx)
+	}
+	w := g.waiters.Get().(*Waiter)
+	defer g.waiters.Put(w)
+	w.Request = r
+	now := g.clock.Now()
+	g.mu.Lock()
+	d := g.core.Arrive(now, w)
+	g.deliver()
+	g.mu.Unlock()
+	if d.Verdict == Queued {
+		return g.wait(ctx, now, w)
+	}
+	return g.permit(now, d)
+}
+
+// wait blocks until a queued request is decided or its caller goes.
+func (g *Gate) wait(ctx context.Context, now time.Time, w *Waiter) (Permit, *outcome.Refusal) {
+	timer := time.NewTimer(w.GiveUp.Sub(now))
+	defer timer.Stop()
+	select {
+	case d := <-w.decided:
+		return g.permit(g.clock.Now(), d)
+	case <-timer.C:
+		g.mu.Lock()
+		g.core.Expire(g.clock.Now(), w)
+		g.deliver()
+		g.mu.Unlock()
+		return g.permit(g.clock.Now(), <-w.decided)
+	case <-ctx.Done():
+		return g.abandon(ctx, w)
+	}
+}
+
+// abandon removes a request whose caller has gone. One that was started meanwhile gives its
+// slot back unused.
+func (g *Gate) abandon(ctx context.Context, w *Waiter) (Permit, *outcome.Refusal) {
+	g.mu.Lock()
+	removed := g.core.Cancel(w)
+	g.mu.Unlock()
+	if removed {
+		return Permit{}, cancelled(ctx)
+	}
+	if d := <-w.decided; d.Refusal != nil {
+		return Permit{}, d.Refusal
+	}
+	now := g.clock.Now()
+	Permit{gate: g, started: now}.Release(Result{Kind: Cancelled})
+	return Permit{}, cancelled(ctx)
+}
+
+// permit turns a decision into the result of Acquire.
+func (g *Gate) permit(now time.Time, d Decision) (Permit, *outcome.Refusal) {
+	if d.Refusal != nil {
+		return Permit{}, d.Refusal
+	}
+	return Permit{gate: g, started: now}, nil
+}
+
+// deliver hands decisions to the queued requests. The mutex must be held.
+func (g *Gate) deliver() {
+	for _, r := range g.core.Ready() {
+		r.Waiter.decided <- r.Decision
+	}
+}
+
+// Release ends the use of the permit.
+func (p Permit) Release(res Result) {
+	now := p.gate.clock.Now()
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.gate.core.Finish(now, p.started, res)
+	p.gate.deliver()
+}
+
+// Configure replaces the description of the target.
+func (g *Gate) Configure(c Config) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Configure(g.clock.Now(), c)
+	g.deliver()
+}
+
+// SetDraining makes the gate refuse all new work, or take it again.
+func (g *Gate) SetDraining(draining bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.SetDraining(draining)
+}
+
+// Load returns the current state for an organisation that is not known.
+func (g *Gate) Load() Load {
+	return g.LoadFor("")
+}
+
+// LoadFor returns the current state for an answer to a request of an organisation.
+func (g *Gate) LoadFor(organisation string) Load {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Load(now, organisation)
+}
+
+// cancelled returns the refusal of a request whose caller has gone or whose time is up.
+func cancelled(ctx context.Context) *outcome.Refusal {
+	code := outcome.Cancelled
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		code = outcome.DeadlineExceeded
+	}
+	return &outcome.Refusal{Code: code, Ran: outcome.RanNo, Detail: "ended while queued"}
+}
