--- /dev/null
+++ b/internal/rate/config.go
@@ -0,0 +1,104 @@
+package rate
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Policy chooses how a node asks for tokens ahead of its demand.
+type Policy int
+
+const (
+	// DemandProportional asks for the tokens that recent demand needs over Horizon.
+	DemandProportional Policy = iota
+	// FixedChunk keeps a fixed number of tokens, whatever the demand.
+	FixedChunk
+)
+
+// Config holds the constants that nodes and owners must agree on. Zero fields get defaults.
+type Config struct {
+	// LeaseTTL is the validity of a lease, counted from the sending of the request.
+	LeaseTTL time.Duration
+	// OwnerLease bounds how long a former owner may still grant after its successor was appointed.
+	OwnerLease time.Duration
+	// DriftPPM bounds the drift of any clock against true time, in parts per million.
+	DriftPPM int64
+	// DriftSlack is added to the margin for the granularity of clocks.
+	DriftSlack time.Duration
+	// Interval is the time between two requests in steady demand.
+	Interval time.Duration
+	// IdleInterval is the time between two requests that only report.
+	IdleInterval time.Duration
+	// MinGap is the least time between two requests to one owner when tokens are short.
+	MinGap time.Duration
+	// Horizon is the demand, in time, for which a node holds tokens ahead.
+	Horizon time.Duration
+	// MaxWait bounds how long a request waits for a token.
+	MaxWait time.Duration
+	// RequestTimeout is the time after which an unanswered request is given up.
+	RequestTimeout time.Duration
+	// OwnerRequestsPerSecond is the request rate to which an owner paces its nodes.
+	OwnerRequestsPerSecond float64
+	// Policy chooses how a node asks ahead.
+	Policy Policy
+	// Chunk is the number of tokens kept under FixedChunk.
+	Chunk uint32
+}
+
+// WithDefaults returns the configuration with its zero fields filled in.
+func (c Config) WithDefaults() Config {
+	setDuration(&c.LeaseTTL, time.Second)
+	setDuration(&c.OwnerLease, 3*time.Second)
+	setDuration(&c.DriftSlack, time.Millisecond)
+	setDuration(&c.Interval, 100*time.Millisecond)
+	setDuration(&c.IdleInterval, 300*time.Millisecond)
+	setDuration(&c.MinGap, 5*time.Millisecond)
+	setDuration(&c.Horizon, 150*time.Millisecond)
+	setDuration(&c.MaxWait, 500*time.Millisecond)
+	setDuration(&c.RequestTimeout, 100*time.Millisecond)
+	if c.DriftPPM == 0 {
+		c.DriftPPM = 1000
+	}
+	if c.OwnerRequestsPerSecond == 0 {
+		c.OwnerRequestsPerSecond = 10_000
+	}
+	if c.Chunk == 0 {
+		c.Chunk = 10
+	}
+	return c
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// drift returns the drift bound as a share of elapsed time.
+func (c Config) drift() float64 {
+	return float64(c.DriftPPM) / 1e6
+}
+
+// withMargin returns the time to wait on one clock so that d has passed on any other.
+func (c Config) withMargin(d time.Duration) time.Duration {
+	return d + time.Duration(3*c.drift()*float64(d)) + c.DriftSlack
+}
+
+// ownerTTL returns the validity of a lease as its owner counts it.
+func (c Config) ownerTTL() time.Duration {
+	return c.withMargin(c.LeaseTTL)
+}
+
+// TakeoverWait returns how long a new owner waits before it grants anything.
+func (c Config) TakeoverWait() time.Duration {
+	return c.withMargin(c.OwnerLease) + c.ownerTTL()
+}
+
+// ShardOf returns the shard of an organisation among the given number of shards.
+func ShardOf(organisation string, shards uint32) uint32 {
+	if shards == 0 {
+		return 0
+	}
+	return uint32(xxhash.Sum64String(organisation) % uint64(shards))
+}
