--- /dev/null
+++ b/internal/peer/body.go
@@ -0,0 +1,129 @@
+package peer
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// bodyWriter splits a body into frames and counts its length and checksum.
+type bodyWriter struct {
+	length uint64
+	digest xxhash.Digest
+	frame  apiv1.BodyFrame
+}
+
+func (w *bodyWriter) reset() {
+	w.length = 0
+	w.digest.Reset()
+}
+
+// add appends data to buf as one or more frames and flushes each full frame to dst.
+func (w *bodyWriter) add(buf *frameBuffer, dst io.Writer, data []byte) error {
+	for len(data) > 0 {
+		n := min(len(data), maxFrameData)
+		w.count(data[:n])
+		w.frame = apiv1.BodyFrame{Data: data[:n]}
+		if err := buf.add(&w.frame); err != nil {
+			return err
+		}
+		data = data[n:]
+		if len(data) == 0 {
+			return nil
+		}
+		if err := buf.flush(dst); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *bodyWriter) count(data []byte) {
+	w.length += uint64(len(data))
+	_, _ = w.digest.Write(data)
+}
+
+// finish appends the last frame, which may carry the end of the body.
+func (w *bodyWriter) finish(buf *frameBuffer, data []byte, allowanceLeft int) error {
+	w.count(data)
+	w.frame = apiv1.BodyFrame{
+		Data:          data,
+		Last:          true,
+		Length:        w.length,
+		Checksum:      w.digest.Sum64(),
+		AllowanceLeft: uint32(max(allowanceLeft, 0)),
+	}
+	return buf.add(&w.frame)
+}
+
+// abort appends a frame that says that the body is not whole.
+func (w *bodyWriter) abort(buf *frameBuffer) error {
+	return buf.add(&apiv1.BodyFrame{Last: true, Aborted: true})
+}
+
+// bodyReader joins frames into a body and checks its length and checksum.
+type bodyReader struct {
+	src    *bufio.Reader
+	frame  apiv1.BodyFrame
+	rest   []byte
+	length uint64
+	digest xxhash.Digest
+	// err is the final state: io.EOF after a whole body.
+	err           error
+	allowanceLeft int
+}
+
+func (r *bodyReader) reset(src *bufio.Reader) {
+	*r = bodyReader{src: src}
+	r.digest.Reset()
+}
+
+// Read returns the next part of the body, io.EOF after the whole body, and
+// io.ErrUnexpectedEOF when the body is not whole.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	for len(r.rest) == 0 {
+		if r.err != nil {
+			return 0, r.err
+		}
+		r.next()
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+// next reads one frame.
+func (r *bodyReader) next() {
+	r.frame.Reset()
+	if err := readFrame(r.src, &r.frame, maxFrameBytes); err != nil {
+		r.err = io.ErrUnexpectedEOF
+		return
+	}
+	if r.frame.Aborted {
+		r.err = io.ErrUnexpectedEOF
+		return
+	}
+	r.rest = r.frame.Data
+	r.length += uint64(len(r.rest))
+	_, _ = r.digest.Write(r.rest)
+	if r.frame.Last {
+		r.end()
+	}
+}
+
+// end checks the last frame. Data of a body that is not whole is dropped.
+func (r *bodyReader) end() {
+	if r.frame.Length != r.length || r.frame.Checksum != r.digest.Sum64() {
+		r.rest = nil
+		r.err = io.ErrUnexpectedEOF
+		return
+	}
+	r.allowanceLeft = int(r.frame.AllowanceLeft)
+	r.err = io.EOF
+}
+
+// whole reports whether the body was read to its end and is whole.
+func (r *bodyReader) whole() bool { return r.err == io.EOF }
--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,232 @@
+package peer
+
+import (
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// Answer is the answer of a call.
+type Answer struct {
+	// Header is the header of the answer. Its key is that of the call.
+	Header *apiv1.AnswerHeader
+	// Body ends in io.EOF after the whole body, and in io.ErrUnexpectedEOF or a
+	// *CallError otherwise. It must be closed.
+	Body io.ReadCloser
+	// From is the node that answered.
+	From Identity
+
+	body *answerBody
+}
+
+// AllowanceLeft returns the extra attempts that come back with the answer. It
+// returns false until the body was read to its end.
+func (a *Answer) AllowanceLeft() (int, bool) {
+	return a.body.reader.allowanceLeft, a.body.reader.whole()
+}
+
+// Call sends a call with its body to the node at address and waits for the
+// header of the answer. The context governs the answer's body too. The error
+// is a *CallError; body may be nil.
+func (p *Pool) Call(ctx context.Context, address string, h *apiv1.CallHeader, body io.Reader) (*Answer, error) {
+	x, err := p.openExchange(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := x.sendCall(h, body); err != nil {
+		x.close(false)
+		failure := x.failure(err)
+		failure.Sent = !errors.Is(err, errUnsent)
+		return nil, failure
+	}
+	return x.receiveAnswer(h.Key)
+}
+
+// Attach asks the node at address for the answer of a call that runs or has
+// finished there. The error is a *CallError.
+func (p *Pool) Attach(ctx context.Context, address string, key *apiv1.CallKey) (*Answer, error) {
+	x, err := p.openExchange(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := x.sendHeader(apiv1.Method_METHOD_ATTACH, &apiv1.AttachRequest{Key: key}); err != nil {
+		x.close(false)
+		return nil, x.failure(err)
+	}
+	return x.receiveAnswer(key)
+}
+
+func (x *exchange) sendHeader(m apiv1.Method, header proto.Message) error {
+	buf := newFrameBuffer()
+	defer buf.release()
+	if err := x.addHeader(buf, m, header); err != nil {
+		return err
+	}
+	return errors.Wrap(buf.flush(x.stream), "send header")
+}
+
+func (x *exchange) addHeader(buf *frameBuffer, m apiv1.Method, header proto.Message) error {
+	if err := buf.add(&apiv1.StreamHeader{Method: m, Number: x.number}); err != nil {
+		return err
+	}
+	if size := proto.Size(header); size > maxHeaderBytes {
+		return errors.Wrapf(errUnsent, "header has %d bytes; at most %d are sent", size, maxHeaderBytes)
+	}
+	return buf.add(header)
+}
+
+// sendCall sends the header with a small body in one write. A larger body, or
+// one of unknown length, follows from a goroutine of its own, since the other
+// end may answer before it has read all of it.
+func (x *exchange) sendCall(h *apiv1.CallHeader, body io.Reader) error {
+	buf := newFrameBuffer()
+	if err := x.addHeader(buf, apiv1.Method_METHOD_CALL, h); err != nil {
+		buf.release()
+		return err
+	}
+	w := &bodyWriter{}
+	w.reset()
+	if body == nil || h.ContentLength == 0 {
+		defer buf.release()
+		if err := w.finish(buf, nil, 0); err != nil {
+			return err
+		}
+		return errors.Wrap(buf.flush(x.stream), "send header")
+	}
+	if h.ContentLength > 0 && h.ContentLength <= inlineBodyBytes {
+		defer buf.release()
+		return x.sendInline(buf, w, body, int(h.ContentLength))
+	}
+	if err := buf.flush(x.stream); err != nil {
+		buf.release()
+		return errors.Wrap(err, "send header")
+	}
+	go x.sendBody(buf, w, body)
+	return nil
+}
+
+func (x *exchange) sendInline(buf *frameBuffer, w *bodyWriter, body io.Reader, length int) error {
+	data := make([]byte, length)
+	if _, err := io.ReadFull(body, data); err != nil {
+		return errors.Wrapf(errUnsent, "read body: %v", err)
+	}
+	if err := w.finish(buf, data, 0); err != nil {
+		return err
+	}
+	return errors.Wrap(buf.flush(x.stream), "send call")
+}
+
+// sendBody sends a body frame by frame. It ends at the end of the body, on its
+// error, and when the exchange has ended.
+func (x *exchange) sendBody(buf *frameBuffer, w *bodyWriter, body io.Reader) {
+	defer buf.release()
+	data := make([]byte, maxFrameData)
+	for {
+		n, err := body.Read(data)
+		if err == nil {
+			err = w.add(buf, x.stream, data[:n])
+		} else {
+			err = x.endBody(buf, w, data[:n], err)
+		}
+		flushErr := buf.flush(x.stream)
+		if err != nil || flushErr != nil {
+			return
+		}
+	}
+}
+
+// endBody appends the last frame. It always returns an error, which ends the body.
+func (x *exchange) endBody(buf *frameBuffer, w *bodyWriter, data []byte, cause error) error {
+	if cause != io.EOF {
+		if err := w.abort(buf); err != nil {
+			return err
+		}
+		return cause
+	}
+	if err := w.finish(buf, data, 0); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// receiveAnswer waits for the header of the answer and checks that it belongs to the call.
+func (x *exchange) receiveAnswer(key *apiv1.CallKey) (*Answer, error) {
+	header := &apiv1.AnswerHeader{}
+	if err := readFrame(x.reader, header, maxHeaderBytes); err != nil {
+		x.close(false)
+		return nil, x.failure(errors.Wrap(err, "receive answer"))
+	}
+	if !sameKey(header.Key, key) {
+		// The other end mixes up its calls: nothing on this connection can be trusted.
+		_ = x.conn.session.Close()
+		x.close(false)
+		return nil, x.failure(errCrossedAnswer)
+	}
+	body := &answerBody{exchange: x}
+	body.reader.reset(x.reader)
+	if header.Refusal != nil {
+		body.drain()
+	}
+	return &Answer{Header: header, Body: body, From: x.conn.remote, body: body}, nil
+}
+
+func sameKey(a, b *apiv1.CallKey) bool {
+	return a.GetNode() == b.GetNode() && a.GetIncarnation() == b.GetIncarnation() && a.GetNumber() == b.GetNumber()
+}
+
+// answerBody reads the body of an answer and ends the exchange with it.
+type answerBody struct {
+	exchange *exchange
+	reader   bodyReader
+	// failed is the error of a body that is not whole, once the exchange has ended.
+	failed error
+}
+
+// Read returns the next part of the body.
+func (b *answerBody) Read(p []byte) (int, error) {
+	if b.failed != nil {
+		return 0, b.failed
+	}
+	n, err := b.reader.Read(p)
+	switch err {
+	case nil:
+	case io.EOF:
+		b.exchange.close(true)
+	default:
+		b.failed = b.cause(err)
+		b.exchange.close(false)
+		err = b.failed
+	}
+	return n, err
+}
+
+// cause returns io.ErrUnexpectedEOF, or a CallError when the connection or the context is at fault.
+func (b *answerBody) cause(err error) error {
+	if b.exchange.ctx.Err() != nil || b.exchange.conn.silent.Load() {
+		return b.exchange.failure(err)
+	}
+	return err
+}
+
+// drain reads a body that carries no data to its end.
+func (b *answerBody) drain() {
+	var none [1]byte
+	for {
+		if _, err := b.Read(none[:]); err != nil {
+			return
+		}
+	}
+}
+
+// Close ends the exchange. A call whose answer was not read to the end is cancelled.
+func (b *answerBody) Close() error {
+	if b.failed == nil && !b.reader.whole() {
+		b.failed = io.ErrClosedPipe
+	}
+	b.exchange.close(b.reader.whole())
+	return nil
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,295 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// conn is the opening end of one connection.
+type conn struct {
+	session Session
+	remote  Identity
+	control *controlWriter
+
+	inFlight   atomic.Int64
+	nextNumber atomic.Uint64
+	// retired is set when the connection takes no new exchanges.
+	retired atomic.Bool
+	// silent is set before a silent connection is closed.
+	silent atomic.Bool
+	// lastUsed is the time of the last exchange's end, in Unix nanoseconds.
+	lastUsed atomic.Int64
+	// pingSent and pongHeard are the numbers of the last ping sent and answered.
+	pingSent  atomic.Uint64
+	pongHeard atomic.Uint64
+	pong      chan struct{}
+	// dozing is set while the monitor waits on wake.
+	dozing atomic.Bool
+	wake   chan struct{}
+	probe  sync.Mutex
+}
+
+// openConn says Hello on a new session and starts the connection's goroutines.
+func openConn(ctx context.Context, id Identity, session Session) (*conn, error) {
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	stream, err := session.Open(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "open control stream")
+	}
+	reader := bufio.NewReaderSize(stream, maxControlBytes)
+	remote, err := exchangeHello(id, stream, reader)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{
+		session: session,
+		remote:  remote,
+		control: newControlWriter(stream),
+		pong:    make(chan struct{}, 1),
+		wake:    make(chan struct{}, 1),
+	}
+	c.lastUsed.Store(time.Now().UnixNano())
+	go c.control.run(session.Done())
+	go c.readControl(reader)
+	go c.monitor()
+	return c, nil
+}
+
+// exchangeHello sends the own identity and returns that of the other end.
+func exchangeHello(id Identity, stream net.Conn, reader *bufio.Reader) (Identity, error) {
+	buf := newFrameBuffer()
+	defer buf.release()
+	if err := buf.add(&apiv1.StreamHeader{Method: apiv1.Method_METHOD_CONTROL}); err != nil {
+		return Identity{}, err
+	}
+	if err := buf.add(&apiv1.ControlFrame{Hello: newHello(id)}); err != nil {
+		return Identity{}, err
+	}
+	if err := buf.flush(stream); err != nil {
+		return Identity{}, errors.Wrap(err, "send hello")
+	}
+	var frame apiv1.ControlFrame
+	if err := readFrame(reader, &frame, maxControlBytes); err != nil {
+		return Identity{}, errors.Wrap(err, "receive hello")
+	}
+	return checkHello(frame.GetHello())
+}
+
+func newHello(id Identity) *apiv1.Hello {
+	return &apiv1.Hello{Node: id.Node, Incarnation: id.Incarnation, ProtocolVersion: protocolVersion}
+}
+
+// checkHello returns the identity that a Hello names.
+func checkHello(h *apiv1.Hello) (Identity, error) {
+	if h == nil {
+		return Identity{}, errors.New("the other end sent no hello")
+	}
+	if h.Error != "" {
+		return Identity{}, errors.Errorf("the other end refused the connection: %s", h.Error)
+	}
+	if h.ProtocolVersion != protocolVersion {
+		return Identity{}, errors.Errorf("the other end speaks protocol version %d, this node %d", h.ProtocolVersion, protocolVersion)
+	}
+	return Identity{Node: h.Node, Incarnation: h.Incarnation}, nil
+}
+
+// begin reserves the connection for one exchange. It returns false when the
+// connection takes no new ones.
+func (c *conn) begin() bool {
+	c.inFlight.Add(1)
+	if c.retired.Load() {
+		c.end()
+		return false
+	}
+	if c.dozing.Load() {
+		c.wakeMonitor()
+	}
+	return true
+}
+
+// end gives back what begin reserved.
+func (c *conn) end() {
+	c.lastUsed.Store(time.Now().UnixNano())
+	if c.inFlight.Add(-1) == 0 && c.retired.Load() {
+		_ = c.session.Close()
+	}
+}
+
+// retire keeps new exchanges off the connection and closes it once the running ones have ended.
+func (c *conn) retire() {
+	c.retired.Store(true)
+	if c.inFlight.Load() == 0 {
+		_ = c.session.Close()
+	}
+}
+
+// alive reports whether new exchanges may use the connection.
+func (c *conn) alive() bool {
+	return !c.retired.Load() && !c.closed()
+}
+
+func (c *conn) closed() bool {
+	select {
+	case <-c.session.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *conn) wakeMonitor() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// readControl handles the frames that the accepting end sends on the control stream.
+func (c *conn) readControl(reader *bufio.Reader) {
+	defer func() { _ = c.session.Close() }()
+	for {
+		var frame apiv1.ControlFrame
+		if err := readFrame(reader, &frame, maxControlBytes); err != nil {
+			return
+		}
+		if frame.GoAway {
+			c.retire()
+		}
+		if frame.Pong != 0 {
+			c.pongHeard.Store(frame.Pong)
+			select {
+			case c.pong <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// monitor pings while exchanges are in flight, and closes the connection when
+// it has been silent or idle for too long.
+func (c *conn) monitor() {
+	for c.watchBusy() && c.doze() {
+	}
+}
+
+// doze waits without pings until the next exchange. It returns false when the
+// connection has ended.
+func (c *conn) doze() bool {
+	c.dozing.Store(true)
+	defer c.dozing.Store(false)
+	if c.inFlight.Load() > 0 {
+		return true
+	}
+	idle := time.NewTimer(idleTimeout)
+	defer idle.Stop()
+	select {
+	case <-c.session.Done():
+		return false
+	case <-c.wake:
+		return true
+	case <-idle.C:
+		c.retire()
+		return true
+	}
+}
+
+// watchBusy pings at each interval at which exchanges are in flight. It returns
+// true once there are none, and false when the connection has ended.
+func (c *conn) watchBusy() bool {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	missed := 0
+	for {
+		select {
+		case <-c.session.Done():
+			return false
+		case <-ticker.C:
+		}
+		if c.pongHeard.Load() == c.pingSent.Load() {
+			missed = 0
+		} else {
+			missed++
+		}
+		// Intervals are counted, not time, so that a pause of this process is no evidence.
+		if missed >= silentPings {
+			c.silent.Store(true)
+			_ = c.session.Close()
+			return false
+		}
+		if missed >= suspectPings {
+			c.retired.Store(true)
+		}
+		if c.inFlight.Load() == 0 {
+			return c.drained()
+		}
+		if missed == 0 {
+			c.control.ping(c.pingSent.Add(1))
+		}
+	}
+}
+
+// drained is called with no exchange in flight. It closes a retired connection.
+func (c *conn) drained() bool {
+	if c.retired.Load() {
+		_ = c.session.Close()
+		return false
+	}
+	return true
+}
+
+// fresh reports whether the connection still answers. A connection that was
+// used lately is trusted; one that was idle is probed with a ping.
+func (c *conn) fresh(ctx context.Context) bool {
+	if !c.longIdle() {
+		return true
+	}
+	c.probe.Lock()
+	defer c.probe.Unlock()
+	if !c.longIdle() {
+		return c.alive()
+	}
+	if !c.answersPing(ctx) {
+		c.retire()
+		return false
+	}
+	c.lastUsed.Store(time.Now().UnixNano())
+	return true
+}
+
+func (c *conn) longIdle() bool {
+	if c.inFlight.Load() > 1 {
+		return false
+	}
+	return time.Now().UnixNano()-c.lastUsed.Load() > int64(probeAfterIdle)
+}
+
+// answersPing sends a ping and waits for its answer for probeTimeout at most.
+func (c *conn) answersPing(ctx context.Context) bool {
+	number := c.pingSent.Add(1)
+	c.control.ping(number)
+	timeout := time.NewTimer(probeTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case <-c.pong:
+			if c.pongHeard.Load() >= number {
+				return true
+			}
+		case <-timeout.C:
+			return false
+		case <-ctx.Done():
+			return false
+		case <-c.session.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/exchange.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// past is a deadline that makes blocked reads and writes of a stream return.
+var past = time.Unix(1, 0)
+
+// exchange is the opening end of one exchange: a stream and its place on a connection.
+type exchange struct {
+	conn    *conn
+	address string
+	stream  net.Conn
+	reader  *bufio.Reader
+	number  uint64
+	stop    func() bool
+	ended   atomic.Bool
+	ctx     context.Context
+}
+
+// openExchange reserves a connection and opens a stream on it. An error means
+// that nothing was sent.
+func (p *Pool) openExchange(ctx context.Context, address string) (*exchange, error) {
+	c, err := p.reserve(ctx, address)
+	if err != nil {
+		return nil, &CallError{Address: address, Err: err}
+	}
+	stream, err := c.session.Open(ctx)
+	if err != nil {
+		c.end()
+		return nil, &CallError{Address: address, Silent: c.silent.Load(), Err: err}
+	}
+	x := &exchange{
+		conn:    c,
+		address: address,
+		stream:  stream,
+		reader:  newReader(stream),
+		number:  c.nextNumber.Add(1),
+		ctx:     ctx,
+	}
+	x.stop = context.AfterFunc(ctx, x.interrupt)
+	return x, nil
+}
+
+// interrupt tells the other end that the caller gave up, and unblocks the local reader.
+func (x *exchange) interrupt() {
+	x.conn.control.cancel(x.number)
+	_ = x.stream.SetDeadline(past)
+}
+
+// close ends the exchange. Completed is true when the whole answer was read.
+// The caller must be the goroutine that reads.
+func (x *exchange) close(completed bool) {
+	if x.ended.Swap(true) {
+		return
+	}
+	if x.stop() && !completed {
+		x.interrupt()
+	}
+	_ = x.stream.Close()
+	releaseReader(x.reader)
+	x.reader = nil
+	x.conn.end()
+}
+
+// failure returns err as a CallError of an exchange that may have left this process.
+func (x *exchange) failure(err error) *CallError {
+	if ctxErr := x.ctx.Err(); ctxErr != nil {
+		err = ctxErr
+	}
+	silent := x.conn.silent.Load()
+	if silent {
+		err = errSilent
+	}
+	return &CallError{Sent: true, Silent: silent, Address: x.address, Err: err}
+}
+
+// timeoutOf returns the remaining time of ctx in nanoseconds, or 0 without a deadline.
+func timeoutOf(ctx context.Context) int64 {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(int64(time.Until(deadline)), 1)
+}
--- /dev/null
+++ b/internal/peer/incoming.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/outcome"
+)
+
+// retryFullAfter is the pause that a caller is told when a connection carries too many exchanges.
+const retryFullAfter = 50 * time.Millisecond
+
+// IncomingCall is the accepting end of a call. The handler reads Body, calls
+// Answer once, then Write for each part of the body, and then Finish or Abort.
+// A handler that returns without Finish has aborted. It is not safe for concurrent use.
+type IncomingCall struct {
+	// Header is the header of the call. For an attached call it holds only the key.
+	Header *apiv1.CallHeader
+	// Body ends in io.EOF after the whole body, and in io.ErrUnexpectedEOF otherwise.
+	Body io.Reader
+	// From is the node that opened the exchange.
+	From Identity
+
+	ctx      context.Context
+	stream   net.Conn
+	buf      *frameBuffer
+	body     bodyReader
+	out      bodyWriter
+	answered bool
+	closed   bool
+	refused  bool
+	// hold is true while parts of the body wait for Finish, to leave in one write with it.
+	hold bool
+}
+
+var (
+	errAnswered    = errors.New("the call was answered before")
+	errNotAnswered = errors.New("the call has no answer yet")
+)
+
+func (ss *serverSession) newIncoming(ctx context.Context, stream net.Conn, reader *bufio.Reader, header *apiv1.CallHeader) *IncomingCall {
+	in := &IncomingCall{Header: header, From: ss.remote, ctx: ctx, stream: stream, buf: newFrameBuffer()}
+	in.body.reset(reader)
+	in.out.reset()
+	in.Body = &in.body
+	return in
+}
+
+func (ss *serverSession) serveCall(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) error {
+	call := &apiv1.CallHeader{}
+	if err := readFrame(reader, call, maxHeaderBytes); err != nil {
+		return errors.Wrap(err, "receive call")
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	ctx, end := ss.begin(header.Number, stream)
+	defer end()
+	in := ss.newIncoming(ctx, stream, reader, call)
+	defer in.end()
+	if refusal := ss.refuseCall(ss.server.call == nil); refusal != nil {
+		return in.refuse(refusal)
+	}
+	ss.server.call(ctx, in)
+	return nil
+}
+
+func (ss *serverSession) serveAttach(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) error {
+	attach := &apiv1.AttachRequest{}
+	if err := readFrame(reader, attach, maxHeaderBytes); err != nil {
+		return errors.Wrap(err, "receive attach")
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	ctx, end := ss.begin(header.Number, stream)
+	defer end()
+	in := ss.newIncoming(ctx, stream, reader, &apiv1.CallHeader{Key: attach.Key})
+	defer in.end()
+	if refusal := ss.refuseCall(ss.server.attach == nil); refusal != nil {
+		// The call itself may have run; only asking for it was refused.
+		refusal.Ran = outcome.RanUnknown
+		return in.refuse(refusal)
+	}
+	ss.server.attach(ctx, attach.Key, in)
+	return nil
+}
+
+// refuseCall returns the refusal of a call that no handler will see, or nil.
+func (ss *serverSession) refuseCall(unserved bool) *outcome.Refusal {
+	if unserved {
+		return outcome.NotRun(outcome.NoTarget, 0, "node %s serves no calls", ss.server.id.Node)
+	}
+	if ss.full() {
+		return outcome.NotRun(outcome.Overloaded, retryFullAfter, "too many exchanges on one connection to node %s", ss.server.id.Node)
+	}
+	return nil
+}
+
+func (in *IncomingCall) refuse(r *outcome.Refusal) error {
+	return in.Answer(&apiv1.AnswerHeader{Refusal: r.Message()})
+}
+
+// Answer sends the header of the answer and sets its key. A header that
+// announces a small body, or none, leaves together with the body.
+func (in *IncomingCall) Answer(h *apiv1.AnswerHeader) error {
+	if in.answered {
+		return errAnswered
+	}
+	h.Key = in.Header.Key
+	if size := proto.Size(h); size > maxHeaderBytes {
+		return errors.Errorf("answer header has %d bytes; at most %d are sent", size, maxHeaderBytes)
+	}
+	in.answered = true
+	in.refused = h.Refusal != nil
+	in.hold = in.refused || (h.ContentLength >= 0 && h.ContentLength <= inlineBodyBytes)
+	return in.buf.add(h)
+}
+
+// Write sends a part of the answer's body. It blocks while the caller's window
+// is full, and fails when that makes no progress for writeTimeout.
+func (in *IncomingCall) Write(p []byte) (int, error) {
+	if !in.answered {
+		return 0, errNotAnswered
+	}
+	if in.closed {
+		return 0, errAnswered
+	}
+	if err := context.Cause(in.ctx); err != nil {
+		return 0, err
+	}
+	in.extend()
+	if err := in.out.add(in.buf, in.stream, p); err != nil {
+		return 0, in.failed(err)
+	}
+	if in.hold && len(in.buf.data) < inlineBodyBytes {
+		return len(p), nil
+	}
+	if err := in.buf.flush(in.stream); err != nil {
+		return 0, in.failed(err)
+	}
+	return len(p), nil
+}
+
+// Finish ends the answer's body and gives back the extra attempts that were
+// lent with the call and not used.
+func (in *IncomingCall) Finish(allowanceLeft int) error {
+	if !in.answered {
+		return errNotAnswered
+	}
+	if in.closed {
+		return errAnswered
+	}
+	in.closed = true
+	if err := in.out.finish(in.buf, nil, allowanceLeft); err != nil {
+		return err
+	}
+	in.extend()
+	return in.failed(in.buf.flush(in.stream))
+}
+
+// Abort ends the exchange without a whole answer. The caller gets an error.
+func (in *IncomingCall) Abort() {
+	if in.closed {
+		return
+	}
+	in.closed = true
+	if !in.answered || in.ctx.Err() != nil {
+		return
+	}
+	if err := in.out.abort(in.buf); err != nil {
+		return
+	}
+	in.extend()
+	_ = in.buf.flush(in.stream)
+}
+
+// extend restarts the write timeout, unless the exchange was cancelled.
+func (in *IncomingCall) extend() {
+	_ = in.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if in.ctx.Err() != nil {
+		_ = in.stream.SetWriteDeadline(past)
+	}
+}
+
+// failed returns the cause of the context's end, if it has ended, for a failed write.
+func (in *IncomingCall) failed(err error) error {
+	if err == nil {
+		return nil
+	}
+	if cause := context.Cause(in.ctx); cause != nil {
+		return cause
+	}
+	return errors.Wrap(err, "send answer")
+}
+
+// end closes what the handler left open. A refusal needs no Finish.
+func (in *IncomingCall) end() {
+	if in.refused && !in.closed {
+		_ = in.Finish(0)
+	}
+	in.Abort()
+	in.buf.release()
+	in.buf = nil
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,227 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// PoolOptions adjust a Pool. The zero value is ready for use.
+type PoolOptions struct {
+	// Seed makes the jitter of reconnects repeatable; 0 draws one.
+	Seed uint64
+}
+
+// Pool holds the connections of this node to other nodes.
+type Pool struct {
+	id        Identity
+	transport Transport
+
+	mu     sync.RWMutex
+	routes map[string]*route
+	closed bool
+	rnd    *rand.Rand
+	rndMu  sync.Mutex
+}
+
+// route is the state of one address.
+type route struct {
+	address string
+	current atomic.Pointer[conn]
+
+	mu      sync.Mutex
+	dialing *dialAttempt
+	// failures counts failed attempts in a row; notBefore ends the pause after the last.
+	failures  int
+	notBefore time.Time
+	lastErr   error
+}
+
+// dialAttempt is a connection attempt that several exchanges may wait for.
+type dialAttempt struct {
+	done chan struct{}
+	conn *conn
+	err  error
+}
+
+// NewPool returns a pool of connections opened by id.
+func NewPool(id Identity, t Transport, o PoolOptions) *Pool {
+	seed := o.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return &Pool{
+		id:        id,
+		transport: t,
+		routes:    make(map[string]*route),
+		rnd:       rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Close ends all connections. Running exchanges fail.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	routes := p.routes
+	p.routes = nil
+	p.mu.Unlock()
+	for _, r := range routes {
+		r.mu.Lock()
+		attempt := r.dialing
+		r.mu.Unlock()
+		if attempt != nil {
+			<-attempt.done
+		}
+		if c := r.current.Load(); c != nil {
+			c.retired.Store(true)
+			_ = c.session.Close()
+		}
+	}
+}
+
+// Peer returns the identity of the node last connected to at address.
+func (p *Pool) Peer(address string) (Identity, bool) {
+	p.mu.RLock()
+	r := p.routes[address]
+	p.mu.RUnlock()
+	if r == nil {
+		return Identity{}, false
+	}
+	c := r.current.Load()
+	if c == nil {
+		return Identity{}, false
+	}
+	return c.remote, true
+}
+
+// reserve returns a connection to address on which an exchange has begun. The
+// caller must end it. An error means that nothing was sent.
+func (p *Pool) reserve(ctx context.Context, address string) (*conn, error) {
+	r, err := p.route(address)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		c := r.current.Load()
+		if c == nil || !c.alive() {
+			if c, err = p.connect(ctx, r); err != nil {
+				return nil, err
+			}
+		}
+		if !c.begin() {
+			continue
+		}
+		if c.fresh(ctx) {
+			return c, nil
+		}
+		c.end()
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (p *Pool) route(address string) (*route, error) {
+	p.mu.RLock()
+	r := p.routes[address]
+	closed := p.closed
+	p.mu.RUnlock()
+	if closed {
+		return nil, ErrClosed
+	}
+	if r != nil {
+		return r, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	if r = p.routes[address]; r == nil {
+		r = &route{address: address}
+		p.routes[address] = r
+	}
+	return r, nil
+}
+
+// connect joins or starts the connection attempt of a route and waits for it.
+func (p *Pool) connect(ctx context.Context, r *route) (*conn, error) {
+	attempt, err := p.attempt(r)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-attempt.done:
+		return attempt.conn, attempt.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (p *Pool) attempt(r *route) (*dialAttempt, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dialing != nil {
+		return r.dialing, nil
+	}
+	if c := r.current.Load(); c != nil && c.alive() {
+		done := make(chan struct{})
+		close(done)
+		return &dialAttempt{done: done, conn: c}, nil
+	}
+	if time.Now().Before(r.notBefore) {
+		return nil, errors.Wrap(r.lastErr, errBackoff.Error())
+	}
+	attempt := &dialAttempt{done: make(chan struct{})}
+	r.dialing = attempt
+	go p.dial(r, attempt)
+	return attempt, nil
+}
+
+// dial runs one connection attempt and records its outcome.
+func (p *Pool) dial(r *route, attempt *dialAttempt) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	attempt.conn, attempt.err = p.open(ctx, r.address)
+	r.mu.Lock()
+	r.dialing = nil
+	if attempt.err == nil {
+		r.failures = 0
+		r.notBefore = time.Time{}
+		r.current.Store(attempt.conn)
+	} else {
+		r.lastErr = attempt.err
+		r.notBefore = time.Now().Add(p.backoff(r.failures))
+		r.failures++
+	}
+	r.mu.Unlock()
+	close(attempt.done)
+}
+
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+	session, err := p.transport.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c, err := openConn(ctx, p.id, session)
+	if err != nil {
+		_ = session.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// backoff returns the pause after failures earlier failed attempts: exponential, half of it jittered.
+func (p *Pool) backoff(failures int) time.Duration {
+	pause := maxBackoff
+	if failures < 10 {
+		pause = min(firstBackoff<<failures, maxBackoff)
+	}
+	p.rndMu.Lock()
+	defer p.rndMu.Unlock()
+	return pause/2 + time.Duration(p.rnd.Int64N(int64(pause/2)))
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"context"
+	"net"
+)
+
+// Identity names one run of a node.
+type Identity struct {
+	// Node is the name of the node.
+	Node string
+	// Incarnation is a random number drawn at each process start.
+	Incarnation uint64
+}
+
+// Transport opens and accepts sessions.
+type Transport interface {
+	// Dial opens a session to address. The context bounds only the dialling.
+	Dial(ctx context.Context, address string) (Session, error)
+	// Listen accepts sessions at address.
+	Listen(address string) (Listener, error)
+}
+
+// Listener accepts sessions at one address.
+type Listener interface {
+	Accept() (Session, error)
+	Close() error
+	// Addr returns the address that others can dial.
+	Addr() string
+}
+
+// Session is one connection that carries many streams.
+type Session interface {
+	// Open opens a stream. The other end sees it once data is written.
+	Open(ctx context.Context) (net.Conn, error)
+	// Accept returns the next stream that the other end opened.
+	Accept() (net.Conn, error)
+	// Close ends the session and all its streams.
+	Close() error
+	// Done is closed when the session has ended.
+	Done() <-chan struct{}
+}
--- /dev/null
+++ b/internal/peer/unary.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// Unary sends req to the handler of method m at address and waits for resp.
+// The error is a *CallError, which wraps a *RemoteError when the handler failed.
+func Unary(ctx context.Context, p *Pool, address string, m apiv1.Method, req, resp proto.Message) error {
+	if size := proto.Size(req); size > maxMessageBytes {
+		return &CallError{Address: address, Err: errors.Errorf("message has %d bytes; at most %d are sent", size, maxMessageBytes)}
+	}
+	x, err := p.openExchange(ctx, address)
+	if err != nil {
+		return err
+	}
+	err = x.unary(m, req, resp)
+	var remote *RemoteError
+	x.close(err == nil || errors.As(err, &remote))
+	if err != nil {
+		return x.failure(err)
+	}
+	return nil
+}
+
+func (x *exchange) unary(m apiv1.Method, req, resp proto.Message) error {
+	buf := newFrameBuffer()
+	defer buf.release()
+	header := &apiv1.StreamHeader{Method: m, Number: x.number, TimeoutNs: timeoutOf(x.ctx)}
+	if err := buf.add(header); err != nil {
+		return err
+	}
+	if err := buf.add(req); err != nil {
+		return err
+	}
+	if err := buf.flush(x.stream); err != nil {
+		return errors.Wrap(err, "send request")
+	}
+	var status apiv1.RpcStatus
+	if err := readFrame(x.reader, &status, maxHeaderBytes); err != nil {
+		return errors.Wrap(err, "receive status")
+	}
+	if status.Error != "" {
+		return &RemoteError{Text: status.Error}
+	}
+	return errors.Wrap(readFrame(x.reader, resp, maxMessageBytes), "receive response")
+}
