Add the registry of targets

(incarnation, version) decides which record wins; liveness is kept apart, so that a node that is not heard for 4 s is hidden and comes back when the same run is heard again.

Incarnations must increase from start to start of a node: peer.NewIncarnation draws them.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -2,17 +2,28 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"time"
 )
 
 // Identity names one run of a node.
 type Identity struct {
 	// Node is the name of the node.
 	Node string
-	// Incarnation is a random number drawn at each process start.
+	// Incarnation is drawn at each process start; see NewIncarnation.
 	Incarnation uint64
 }
 
+// incarnationRandomBits is the number of low bits of an incarnation that are drawn at random.
+const incarnationRandomBits = 20
+
+// NewIncarnation returns the incarnation of a process that starts now: the time
+// in milliseconds followed by random bits. Later starts of a node get higher numbers.
+func NewIncarnation(now time.Time) uint64 {
+	return uint64(now.UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
+}
+
 // Transport opens and accepts sessions.
 type Transport interface {
 	// Dial opens a session to address. The context bounds only the dialling.
--- /dev/null
+++ b/internal/registry/relay.go
@@ -0,0 +1,405 @@
+package registry
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+const (
+	// DefaultNodeTimeout is how long a node may stay unheard before its targets are hidden.
+	DefaultNodeTimeout = 4 * time.Second
+	// DefaultWarmUp is how long a fresh replica waits for nodes and other replicas before
+	// it reports targets as missing.
+	DefaultWarmUp = 5 * time.Second
+	// forgetAfter is how long silent nodes are remembered.
+	forgetAfter = 2 * time.Minute
+	// forgetTombstoneAfter is longer: a replica that missed the tombstone has forgotten the
+	// node, and with it the target, before the tombstone is dropped.
+	forgetTombstoneAfter = 2 * forgetAfter
+	// livenessInterval is the time between two batches of liveness to the same replica.
+	livenessInterval = time.Second
+	// maxNodes bounds the nodes of the fleet.
+	maxNodes = 20_000
+	// maxRecordsPerNode bounds the targets and tombstones kept of one node.
+	maxRecordsPerNode = 4 * maxLocalTargets
+)
+
+// RelayOptions describe the replica that a Relay belongs to. Zero durations take their defaults.
+type RelayOptions struct {
+	// Node and Incarnation are the identity of the replica's process.
+	Node        string
+	Incarnation uint64
+	NodeTimeout time.Duration
+	WarmUp      time.Duration
+}
+
+// Relay holds the targets of all nodes at one control replica. It does no I/O
+// and starts no goroutine; it is safe for concurrent use.
+type Relay struct {
+	options RelayOptions
+
+	mu      sync.Mutex
+	started time.Time
+	warm    bool
+	nodes   map[string]*node
+	// addresses holds the names of the nodes that claim an address.
+	addresses map[string]map[string]struct{}
+	services  map[string]*service
+	peers     map[string]*replicaPeer
+	// position counts the changes of records; each record carries that of its last change.
+	position uint64
+	changed  chan struct{}
+}
+
+// node is what the relay knows of one node.
+type node struct {
+	name        string
+	incarnation uint64
+	address     string
+	dataCentre  string
+	revision    uint64
+	leaving     bool
+	// heard is the last time at which the node is known to have lived.
+	heard time.Time
+	// direct is the last heartbeat that came to this replica.
+	direct   time.Time
+	sequence uint64
+	// announced is the version of the set that the relay holds of the node.
+	announced uint64
+	records   map[string]*record
+}
+
+// record is the last known announcement of one target.
+type record struct {
+	message  *apiv1.TargetRecord
+	position uint64
+	// since is the time of the last change.
+	since time.Time
+	// shown is the target as nodes see it; nil while it is hidden.
+	shown *apiv1.TargetRecord
+	flaps flapping
+}
+
+// service is the shown targets of one service.
+type service struct {
+	version uint64
+	targets map[string]*record
+}
+
+// NewRelay returns an empty relay. It counts its warm-up from the first event.
+func NewRelay(o RelayOptions) *Relay {
+	if o.NodeTimeout == 0 {
+		o.NodeTimeout = DefaultNodeTimeout
+	}
+	if o.WarmUp == 0 {
+		o.WarmUp = DefaultWarmUp
+	}
+	return &Relay{
+		options:   o,
+		nodes:     make(map[string]*node),
+		addresses: make(map[string]map[string]struct{}),
+		services:  make(map[string]*service),
+		peers:     make(map[string]*replicaPeer),
+		changed:   make(chan struct{}),
+	}
+}
+
+// Changed returns a channel that is closed at the next change of the shown targets.
+func (r *Relay) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Source returns the identity to which the versions of Updates belong.
+func (r *Relay) Source() string {
+	return fmt.Sprintf("%s/%d", r.options.Node, r.options.Incarnation)
+}
+
+// Announced takes over a node's heartbeat. It returns true when the relay lacks
+// the node's announced set, so that the node sends it in full.
+func (r *Relay) Announced(now time.Time, req *apiv1.SyncRequest) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begin(now)
+	n := r.admitNode(req.Node, req.Incarnation)
+	if n == nil {
+		return false
+	}
+	if req.Sequence != 0 {
+		if req.Sequence <= n.sequence {
+			return n.announced != req.AnnouncedVersion
+		}
+		n.sequence = req.Sequence
+	}
+	n.direct = now
+	n.heard = now
+	n.revision = req.Revision
+	n.dataCentre = req.DataCentre
+	n.leaving = n.leaving || req.Leaving
+	r.setAddress(n, req.Address)
+	if req.AnnouncedFull && req.AnnouncedVersion >= n.announced {
+		r.replaceSet(now, n, req)
+	}
+	r.refreshAddress(now, n.address)
+	r.show(now, n)
+	return n.announced != req.AnnouncedVersion
+}
+
+// begin starts the warm-up at the first event and ends it in time.
+func (r *Relay) begin(now time.Time) {
+	if r.started.IsZero() {
+		r.started = now
+	}
+	if !r.warm && now.Sub(r.started) >= r.options.WarmUp {
+		r.setWarm()
+	}
+}
+
+func (r *Relay) setWarm() {
+	r.warm = true
+	r.wake()
+}
+
+func (r *Relay) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// admitNode returns the state of a node's incarnation, or nil when the
+// incarnation is outdated or there are too many nodes. A new incarnation hides
+// everything that an earlier one announced.
+func (r *Relay) admitNode(name string, incarnation uint64) *node {
+	n := r.nodes[name]
+	if n == nil {
+		if name == "" || len(r.nodes) >= maxNodes {
+			return nil
+		}
+		n = &node{name: name, incarnation: incarnation, records: make(map[string]*record)}
+		r.nodes[name] = n
+		return n
+	}
+	if incarnation < n.incarnation {
+		return nil
+	}
+	if incarnation > n.incarnation {
+		n.incarnation = incarnation
+		n.sequence = 0
+		n.announced = 0
+		n.leaving = false
+		n.heard = time.Time{}
+		n.direct = time.Time{}
+	}
+	return n
+}
+
+// replaceSet takes over the whole announced set of a node. Records that are
+// missing from it become tombstones at the version of the set.
+func (r *Relay) replaceSet(now time.Time, n *node, req *apiv1.SyncRequest) {
+	present := make(map[string]struct{}, len(req.Announced))
+	for _, m := range req.Announced {
+		if m.Node != n.name || m.Incarnation != n.incarnation {
+			continue
+		}
+		present[m.Name] = struct{}{}
+		r.mergeRecord(now, n, m)
+	}
+	for name, rec := range n.records {
+		if _, ok := present[name]; !ok && rec.message.State != apiv1.TargetState_TARGET_STATE_GONE {
+			r.mergeRecord(now, n, tombstone(rec.message, n.incarnation, req.AnnouncedVersion))
+		}
+	}
+	n.announced = req.AnnouncedVersion
+}
+
+// tombstone returns the record of a target that is gone as of a version.
+func tombstone(m *apiv1.TargetRecord, incarnation, version uint64) *apiv1.TargetRecord {
+	return &apiv1.TargetRecord{
+		Name:        m.Name,
+		Service:     m.Service,
+		Node:        m.Node,
+		State:       apiv1.TargetState_TARGET_STATE_GONE,
+		Incarnation: incarnation,
+		Version:     version,
+	}
+}
+
+// mergeRecord takes over a record if it supersedes the one held. The message
+// must not be changed afterwards.
+func (r *Relay) mergeRecord(now time.Time, n *node, m *apiv1.TargetRecord) {
+	rec := n.records[m.Name]
+	if rec == nil {
+		if len(n.records) >= maxRecordsPerNode {
+			return
+		}
+		rec = &record{}
+		n.records[m.Name] = rec
+	} else if !newer(m.Incarnation, m.Version, rec.message.Incarnation, rec.message.Version) {
+		return
+	}
+	r.hideMoved(rec, m)
+	r.position++
+	rec.message = m
+	rec.position = r.position
+	rec.since = now
+}
+
+// hideMoved removes a target from the service that it leaves for another.
+func (r *Relay) hideMoved(rec *record, m *apiv1.TargetRecord) {
+	if rec.shown != nil && rec.shown.Service != m.Service {
+		r.setShown(rec, nil)
+	}
+}
+
+// setAddress notes the peer address that a node claims.
+func (r *Relay) setAddress(n *node, address string) {
+	if n.address == address {
+		return
+	}
+	r.releaseAddress(n)
+	n.address = address
+	claims := r.addresses[address]
+	if claims == nil {
+		claims = make(map[string]struct{})
+		r.addresses[address] = claims
+	}
+	claims[n.name] = struct{}{}
+}
+
+func (r *Relay) releaseAddress(n *node) {
+	claims := r.addresses[n.address]
+	delete(claims, n.name)
+	if len(claims) == 0 {
+		delete(r.addresses, n.address)
+	}
+}
+
+// refreshAddress shows or hides the targets of the nodes that share an address.
+func (r *Relay) refreshAddress(now time.Time, address string) {
+	claims := r.addresses[address]
+	if len(claims) < 2 {
+		return
+	}
+	for name := range claims {
+		r.show(now, r.nodes[name])
+	}
+}
+
+// Updates returns the services whose targets differ from what the node holds.
+func (r *Relay) Updates(req *apiv1.SyncRequest) []*apiv1.ServiceUpdate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.updates(req)
+}
+
+// Fill sets the registry fields of the answer to a heartbeat.
+func (r *Relay) Fill(req *apiv1.SyncRequest, resp *apiv1.SyncResponse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	resp.Services = r.updates(req)
+	if r.warm {
+		resp.RegistrySource = r.Source()
+	}
+}
+
+func (r *Relay) updates(req *apiv1.SyncRequest) []*apiv1.ServiceUpdate {
+	sameSource := req.RegistrySource == r.Source()
+	var updates []*apiv1.ServiceUpdate
+	for _, held := range req.Services {
+		s := r.services[held.Service]
+		if s == nil {
+			s = &service{}
+		}
+		if r.warm && sameSource && held.Version == s.version {
+			continue
+		}
+		if !r.warm && len(s.targets) == 0 {
+			continue
+		}
+		updates = append(updates, r.update(held.Service, s))
+	}
+	return updates
+}
+
+func (r *Relay) update(name string, s *service) *apiv1.ServiceUpdate {
+	update := &apiv1.ServiceUpdate{Service: name, Version: s.version, Partial: !r.warm}
+	for _, rec := range s.targets {
+		update.Targets = append(update.Targets, rec.shown)
+	}
+	return update
+}
+
+// Expire hides the targets of nodes that were not heard in time, shows those
+// whose damping has ended, and forgets old tombstones. It is called a few times a second.
+func (r *Relay) Expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begin(now)
+	for _, n := range r.nodes {
+		r.show(now, n)
+		r.forget(now, n)
+	}
+}
+
+// forget drops what is older than any message on its way can be.
+func (r *Relay) forget(now time.Time, n *node) {
+	for name, rec := range n.records {
+		gone := rec.message.State == apiv1.TargetState_TARGET_STATE_GONE || rec.message.Incarnation != n.incarnation
+		if gone && now.Sub(rec.since) > forgetTombstoneAfter {
+			delete(n.records, name)
+		}
+	}
+	if now.Sub(n.heard) > forgetAfter && now.Sub(r.started) > forgetAfter {
+		r.forgetNode(n)
+	}
+}
+
+func (r *Relay) forgetNode(n *node) {
+	for _, rec := range n.records {
+		r.setShown(rec, nil)
+	}
+	r.releaseAddress(n)
+	delete(r.nodes, n.name)
+}
+
+// Nodes returns the nodes that were heard within the node timeout, for the status of control.
+func (r *Relay) Nodes(now time.Time) []*apiv1.NodeLiveness {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	nodes := make([]*apiv1.NodeLiveness, 0, len(r.nodes))
+	for _, n := range r.nodes {
+		if r.alive(now, n) {
+			nodes = append(nodes, n.liveness(now, n.heard))
+		}
+	}
+	return nodes
+}
+
+// Targets returns the number of shown targets of each service.
+func (r *Relay) Targets() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[string]int, len(r.services))
+	for name, s := range r.services {
+		if len(s.targets) > 0 {
+			counts[name] = len(s.targets)
+		}
+	}
+	return counts
+}
+
+func (n *node) liveness(now, heard time.Time) *apiv1.NodeLiveness {
+	return &apiv1.NodeLiveness{
+		Node:        n.name,
+		Incarnation: n.incarnation,
+		AgeNs:       int64(max(now.Sub(heard), 0)),
+		Revision:    n.revision,
+		DataCentre:  n.dataCentre,
+		Address:     n.address,
+		Leaving:     n.leaving,
+		Sequence:    n.sequence,
+	}
+}
--- /dev/null
+++ b/internal/registry/show.go
@@ -0,0 +1,91 @@
+package registry
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// alive reports whether a node was heard within the node timeout.
+func (r *Relay) alive(now time.Time, n *node) bool {
+	return !n.heard.IsZero() && now.Sub(n.heard) <= r.options.NodeTimeout
+}
+
+// ownsAddress reports whether no live node that started later claims the
+// node's address, as happens when a host is replaced under the same IP number.
+func (r *Relay) ownsAddress(now time.Time, n *node) bool {
+	for name := range r.addresses[n.address] {
+		other := r.nodes[name]
+		if other != n && other.incarnation > n.incarnation && r.alive(now, other) {
+			return false
+		}
+	}
+	return true
+}
+
+// show brings the shown targets of a node up to date.
+func (r *Relay) show(now time.Time, n *node) {
+	usable := r.alive(now, n) && r.ownsAddress(now, n)
+	for _, rec := range n.records {
+		r.showRecord(now, n, rec, usable)
+	}
+}
+
+func (r *Relay) showRecord(now time.Time, n *node, rec *record, usable bool) {
+	if !usable || !rec.present(n) {
+		if rec.shown != nil {
+			rec.flaps.vanished(now)
+			r.setShown(rec, nil)
+		}
+		return
+	}
+	if rec.shown == nil && rec.flaps.held(now) && r.hasOther(rec) {
+		return
+	}
+	want := rec.message
+	if n.leaving && want.State != apiv1.TargetState_TARGET_STATE_LEAVING {
+		want = proto.CloneOf(want)
+		want.State = apiv1.TargetState_TARGET_STATE_LEAVING
+	}
+	if rec.shown == nil || rec.shown.State != want.State || rec.shown.Version != want.Version || rec.shown.Incarnation != want.Incarnation {
+		r.setShown(rec, want)
+	}
+}
+
+// present reports whether the record describes a target of the node's current run.
+func (rec *record) present(n *node) bool {
+	return rec.message.Incarnation == n.incarnation && rec.message.State != apiv1.TargetState_TARGET_STATE_GONE
+}
+
+// hasOther reports whether the service of a hidden target has a shown one.
+func (r *Relay) hasOther(rec *record) bool {
+	s := r.services[rec.message.Service]
+	return s != nil && len(s.targets) > 0
+}
+
+// setShown changes what nodes see of a target and wakes those who wait for news.
+func (r *Relay) setShown(rec *record, shown *apiv1.TargetRecord) {
+	if rec.shown == nil && shown == nil {
+		return
+	}
+	name := rec.message.Service
+	if rec.shown != nil {
+		name = rec.shown.Service
+	}
+	s := r.services[name]
+	if s == nil {
+		s = &service{targets: make(map[string]*record)}
+		r.services[name] = s
+	}
+	id := targetID(rec.message.Node, rec.message.Name)
+	if shown == nil {
+		delete(s.targets, id)
+	} else {
+		s.targets[id] = rec
+	}
+	s.version++
+	rec.shown = shown
+	r.wake()
+}
