Compare FIFO as a variant of the queue, not of the request

Cause: the FIFO variant cleared deadlines, which switched off the deadline check too. Change: the queue itself ignores depth, organisation and deadline within a class. Measurement: go test ./internal/admission passes. Conclusion: both disciplines now differ in order only.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -76,7 +76,7 @@
 
 // NewVariant returns a state machine with other decisions than the default ones.
 func NewVariant(c Config, v Variant) *Core {
-	return &Core{config: c, limiter: newLimiter(v.Limit), shedder: newShedder(), variant: v}
+	return &Core{config: c, limiter: newLimiter(v.Limit), shedder: newShedder(), queue: queue{fifo: v.FIFO}, variant: v}
 }
 
 // Configure replaces the description of the target.
@@ -122,7 +122,7 @@
 	}
 	w.queued = now
 	w.GiveUp = c.giveUp(now, w)
-	c.queue.push(w, c.variant.FIFO)
+	c.queue.push(w)
 	if c.queue.length <= c.queueCap(now) {
 		return Decision{Verdict: Queued}
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -28,6 +28,7 @@
 	weight       float64
 	// start is the virtual time at which the next request of the flow is due.
 	start   float64
+	fifo    bool
 	waiters []*Waiter
 }
 
@@ -36,7 +37,7 @@
 
 func (f *flow) Less(i, j int) bool {
 	a, b := f.waiters[i], f.waiters[j]
-	if a.Deadline.Equal(b.Deadline) {
+	if f.fifo || a.Deadline.Equal(b.Deadline) {
 		return a.queued.Before(b.queued)
 	}
 	return !a.Deadline.IsZero() && (b.Deadline.IsZero() || a.Deadline.Before(b.Deadline))
@@ -82,21 +83,26 @@
 }
 
 // find returns the flow of an organisation, made if missing.
-func (b *band) find(r *Request) *flow {
+func (b *band) find(organisation string, weight float64) *flow {
 	for _, f := range b.flows {
-		if f.organisation == r.Organisation {
-			f.weight = r.weight()
+		if f.organisation == organisation {
+			f.weight = weight
 			return f
 		}
 	}
-	f := &flow{organisation: r.Organisation, weight: r.weight(), start: b.virtual}
+	f := &flow{organisation: organisation, weight: weight, start: b.virtual}
 	b.flows = append(b.flows, f)
 	return f
 }
 
 // push queues a request behind those of its organisation that are due earlier.
-func (b *band) push(w *Waiter) {
-	f := b.find(&w.Request)
+func (b *band) push(w *Waiter, fifo bool) {
+	key := w.Organisation
+	if fifo {
+		key = ""
+	}
+	f := b.find(key, w.weight())
+	f.fifo = fifo
 	if len(f.waiters) == 0 {
 		f.start = max(f.start, b.virtual)
 	}
@@ -140,6 +146,8 @@
 
 // queue orders requests by class, depth, organisation and deadline.
 type queue struct {
+	// fifo ignores depth, organisation and deadline within a class.
+	fifo  bool
 	bands [MaxPriority + 1][maxDepthBand + 1]band
 	// classes and depths have a bit set for each class, and each depth of it, in use.
 	classes uint16
@@ -149,17 +157,17 @@
 }
 
 // place returns the class and depth band of a request.
-func place(r *Request) (priority, depth int) {
+func (q *queue) place(r *Request) (priority, depth int) {
+	if q.fifo {
+		return clampPriority(r.Priority), 0
+	}
 	return clampPriority(r.Priority), min(max(r.Depth, 0), maxDepthBand)
 }
 
-// push queues a request. With fifo, only class and arrival count.
-func (q *queue) push(w *Waiter, fifo bool) {
-	if fifo {
-		w.Depth, w.Organisation, w.Deadline = 0, "", time.Time{}
-	}
-	priority, depth := place(&w.Request)
-	q.bands[priority][depth].push(w)
+// push queues a request.
+func (q *queue) push(w *Waiter) {
+	priority, depth := q.place(&w.Request)
+	q.bands[priority][depth].push(w, q.fifo)
 	q.classes |= 1 << priority
 	q.depths[priority] |= 1 << depth
 	q.byClass[priority]++
@@ -193,7 +201,7 @@
 	if w.flow == nil {
 		return false
 	}
-	priority, depth := place(&w.Request)
+	priority, depth := q.place(&w.Request)
 	heap.Remove(w.flow, w.index)
 	q.bands[priority][depth].queued--
 	q.left(w, priority, depth)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -55,7 +55,7 @@
 				delete(held, w)
 			default:
 				w := drawWaiter(t, n)
-				q.push(w, false)
+				q.push(w)
 				held[w] = true
 			}
 			require.Equal(t, len(held), q.length)
@@ -72,7 +72,7 @@
 	q := &queue{}
 	for n := range 400 {
 		for name, weight := range map[string]float64{"large": 3, "small": 1} {
-			q.push(&Waiter{Request: Request{Organisation: name, Weight: weight}, queued: queueEpoch.Add(time.Duration(n))}, false)
+			q.push(&Waiter{Request: Request{Organisation: name, Weight: weight}, queued: queueEpoch.Add(time.Duration(n))})
 		}
 	}
 	served := map[string]int{}
@@ -85,12 +85,12 @@
 func TestQueueGivesLateArrivalItsShareAtOnce(t *testing.T) {
 	q := &queue{}
 	for range 100 {
-		q.push(&Waiter{Request: Request{Organisation: "flood"}}, false)
+		q.push(&Waiter{Request: Request{Organisation: "flood"}})
 	}
 	for range 50 {
 		q.pop()
 	}
-	q.push(&Waiter{Request: Request{Organisation: "late"}}, false)
+	q.push(&Waiter{Request: Request{Organisation: "late"}})
 	next := []string{q.pop().Organisation, q.pop().Organisation}
 	require.Contains(t, next, "late")
 }
