Choose targets by two random draws, with ejection, slow start and early shedding

Cause: dispatch needs a choice of target at the caller's node. Change: Picker draws two targets of its own data centre, spills over at load, ejects on observed outcomes up to a cap, ramps new targets, and refuses by the cutoffs that answers of the same route and organisation carried; a cutoff without news rises until requests pass. Measurement: go test ./internal/route passes, incl. 0 allocations for pick and done.

--- /dev/null
+++ b/internal/route/picker.go
@@ -0,0 +1,349 @@
+package route
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/registry"
+)
+
+const (
+	// DefaultSlowStart is the time in which a new target comes to its full load.
+	DefaultSlowStart = 10 * time.Second
+	// DefaultMaxEjected is the largest share of a service's targets that is ejected.
+	DefaultMaxEjected = 0.34
+	// spillLoad is the share of a target's limit in use from which other data centres compete.
+	spillLoad = 0.9
+	// spillAdvantage is the ratio of scores that makes a call leave its data centre.
+	spillAdvantage = 0.8
+	// shedRetryAfter and noTargetRetryAfter are told to refused callers.
+	shedRetryAfter     = time.Second
+	noTargetRetryAfter = time.Second
+)
+
+// Config sets up a Picker.
+type Config struct {
+	// SlowStart is the time in which a new target comes to its full load; 0 turns it off.
+	SlowStart time.Duration
+	// MaxEjected is the largest share of targets ejected at a time; unless it is 0, one of
+	// several targets may always be ejected.
+	MaxEjected float64
+}
+
+// DefaultConfig returns the settings of a node.
+func DefaultConfig() Config {
+	return Config{SlowStart: DefaultSlowStart, MaxEjected: DefaultMaxEjected}
+}
+
+// Query describes a call for which a target is wanted.
+type Query struct {
+	// Accept filters targets; nil accepts all.
+	Accept func(*registry.Target) bool
+	// Exclude names targets, by ID, that were tried already.
+	Exclude []string
+	// Route and Organisation name the requests that share a cutoff.
+	Route        string
+	Organisation string
+	// Level is the shedding level of the whole request.
+	Level uint32
+}
+
+// Kind says how a call ended, as its caller saw it.
+type Kind int
+
+// The kinds of observations.
+const (
+	Success Kind = iota
+	// Failure means that the target or the node beside it broke.
+	Failure
+	TimedOut
+	// Refused means that the node beside the target did not run the call.
+	Refused
+	// Cancelled says nothing about the target.
+	Cancelled
+	// Unreachable means that nothing could be sent.
+	Unreachable
+)
+
+// Observation is what a caller learned from one call.
+type Observation struct {
+	Kind    Kind
+	Latency time.Duration
+	// Load is the report that came with the answer; nil if none did.
+	Load *apiv1.LoadReport
+}
+
+// Picker chooses targets of one service. It is safe for concurrent use.
+type Picker struct {
+	config     Config
+	dataCentre string
+	clock      clock.Clock
+	origin     time.Time
+	seed       uint64
+	draws      atomic.Uint64
+	table      atomic.Pointer[table]
+	cutoffs    *cutoffs
+	// latencyNs is the smoothed latency over all targets.
+	latencyNs atomic.Int64
+
+	mu      sync.Mutex
+	members map[string]known
+}
+
+// known is a member and the start of the target that it describes.
+type known struct {
+	*member
+	started time.Time
+}
+
+// table is an immutable set of targets that take work.
+type table struct {
+	local  []entry
+	remote []entry
+}
+
+// NewPicker returns a picker without targets. Picks with equal seeds and events are equal.
+func NewPicker(cfg Config, dataCentre string, clk clock.Clock, seed uint64) *Picker {
+	p := &Picker{config: cfg, dataCentre: dataCentre, clock: clk, origin: clk.Now(), seed: seed, cutoffs: newCutoffs()}
+	p.table.Store(&table{})
+	return p
+}
+
+// Update replaces the targets. Those that stay keep their statistics.
+func (p *Picker) Update(targets []*registry.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	members := make(map[string]known, len(targets))
+	next := &table{}
+	for _, t := range targets {
+		k, ok := p.members[t.ID()]
+		if !ok || !k.started.Equal(t.Started) {
+			k = known{member: newMember(p.rampFrom(now, t)), started: t.Started}
+		}
+		members[t.ID()] = k
+		switch {
+		case !takesWork(t):
+		case t.DataCentre == p.dataCentre:
+			next.local = append(next.local, entry{target: t, member: k.member})
+		default:
+			next.remote = append(next.remote, entry{target: t, member: k.member})
+		}
+	}
+	p.members = members
+	p.table.Store(next)
+}
+
+// rampFrom returns when the slow start of a target that is new here began. Targets of the
+// first update were there before this node, unless they say that they are cold.
+func (p *Picker) rampFrom(now int64, t *registry.Target) int64 {
+	if p.members == nil && t.State != apiv1.TargetState_TARGET_STATE_COLD {
+		return never
+	}
+	return now
+}
+
+// Pick chooses a target, or refuses the call as not run. Each Choice must be closed by Done.
+func (p *Picker) Pick(q Query) (Choice, *outcome.Refusal) {
+	now := p.now()
+	key := cutoffKey{route: q.Route, organisation: q.Organisation}
+	if cutoff := p.cutoffs.at(now, key); cutoff != 0 && q.Level >= cutoff {
+		return Choice{}, &outcome.Refusal{
+			Code: outcome.Overloaded, Ran: outcome.RanNo, RetryAfter: shedRetryAfter,
+			Detail: "requests of this level are shed",
+		}
+	}
+	e := p.choose(now, &q, false)
+	if e == nil {
+		e = p.choose(now, &q, true)
+	}
+	if e == nil {
+		return Choice{}, &outcome.Refusal{
+			Code: outcome.NoTarget, Ran: outcome.RanNo, RetryAfter: noTargetRetryAfter,
+			Detail: "no target of the service takes this call",
+		}
+	}
+	e.inFlight.Add(1)
+	return Choice{picker: p, entry: *e, key: key}, nil
+}
+
+// Cutoff returns the cutoff in force for requests of a route and organisation; 0 means none.
+// A node folds it into the answers of requests whose sub-calls use this service.
+func (p *Picker) Cutoff(route, organisation string) uint32 {
+	return p.cutoffs.at(p.now(), cutoffKey{route: route, organisation: organisation})
+}
+
+// choose returns the best of the targets drawn, or nil. The second pass takes ejected ones.
+func (p *Picker) choose(now int64, q *Query, ejected bool) *entry {
+	t := p.table.Load()
+	local := p.better(now, t.local, q, ejected)
+	if local != nil && !local.full(now) {
+		return local
+	}
+	remote := p.better(now, t.remote, q, ejected)
+	switch {
+	case local == nil:
+		return remote
+	case remote == nil || remote.full(now):
+		return local
+	case p.score(now, remote) < spillAdvantage*p.score(now, local):
+		return remote
+	default:
+		return local
+	}
+}
+
+// better draws two targets and returns the one with the lower score, or nil.
+func (p *Picker) better(now int64, entries []entry, q *Query, ejected bool) *entry {
+	a := p.draw(now, entries, q, ejected, nil)
+	if a == nil {
+		return nil
+	}
+	b := p.draw(now, entries, q, ejected, a)
+	if b != nil && p.score(now, b) < p.score(now, a) {
+		return b
+	}
+	return a
+}
+
+// draw returns the first eligible target from a random place on, other than taken.
+func (p *Picker) draw(now int64, entries []entry, q *Query, ejected bool, taken *entry) *entry {
+	if len(entries) == 0 {
+		return nil
+	}
+	start := int(p.random() % uint64(len(entries)))
+	for i := range entries {
+		e := &entries[(start+i)%len(entries)]
+		if e != taken && q.eligible(now, e, ejected) {
+			return e
+		}
+	}
+	return nil
+}
+
+// eligible reports whether a call may go to a target.
+func (q *Query) eligible(now int64, e *entry, ejected bool) bool {
+	if now < e.drainingUntilNs.Load() || (!ejected && now < e.ejectedUntilNs.Load()) {
+		return false
+	}
+	for _, id := range q.Exclude {
+		if e.is(id) {
+			return false
+		}
+	}
+	return q.Accept == nil || q.Accept(e.target)
+}
+
+// is reports whether id names the target, without building its ID.
+func (e *entry) is(id string) bool {
+	node, name := e.target.Node, e.target.Name
+	return len(id) == len(node)+1+len(name) && id[:len(node)] == node && id[len(node)+1:] == name
+}
+
+// score returns the expected cost of a call at a target: its load for each slot times its
+// latency, raised during slow start.
+func (p *Picker) score(now int64, e *entry) float64 {
+	requests, limit := e.load(now)
+	if limit == 0 {
+		limit = int64(max(e.target.Slots, 1))
+	}
+	latency := e.latency(now, p.latencyNs.Load())
+	return float64(requests+1) / float64(limit) * latency / e.warmth(now, p.config.SlowStart)
+}
+
+// now returns the time since the picker was made.
+func (p *Picker) now() int64 {
+	return int64(p.clock.Now().Sub(p.origin))
+}
+
+// random returns the next number of a sequence that the seed fixes (SplitMix64).
+func (p *Picker) random() uint64 {
+	z := p.seed + p.draws.Add(1)*0x9e3779b97f4a7c15
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// Choice is a picked target. Done must be called once.
+type Choice struct {
+	picker *Picker
+	entry  entry
+	key    cutoffKey
+}
+
+// Target returns the chosen target.
+func (c Choice) Target() *registry.Target {
+	return c.entry.target
+}
+
+// Done reports how the call ended.
+func (c Choice) Done(o Observation) {
+	p, m := c.picker, c.entry.member
+	now := p.now()
+	m.inFlight.Add(-1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o.Load != nil {
+		m.observeLoad(now, o.Load)
+		p.cutoffs.observe(now, c.key, o.Load.GetCutoff())
+	}
+	at := p.origin.Add(time.Duration(now))
+	switch o.Kind {
+	case Success:
+		m.observeLatency(now, o.Latency)
+		p.observeLatency(o.Latency)
+		m.health.succeed(at)
+	case TimedOut:
+		m.observeLatency(now, max(o.Latency, time.Duration(m.latencyNs.Load())))
+		p.failed(now, m, 1)
+	case Failure:
+		p.failed(now, m, 1)
+	case Unreachable:
+		p.failed(now, m, unreachableWeight)
+	}
+}
+
+// observeLatency smooths the latency of the service. Concurrent updates may lose a sample.
+func (p *Picker) observeLatency(sample time.Duration) {
+	old := p.latencyNs.Load()
+	if old == 0 {
+		p.latencyNs.Store(int64(sample))
+		return
+	}
+	p.latencyNs.Store(old + int64(latencyGain*float64(int64(sample)-old)))
+}
+
+// failed counts a failure and ejects the target if it is due and the cap allows.
+func (p *Picker) failed(now int64, m *member, weight int) {
+	if !m.health.fail(weight) || now < m.ejectedUntilNs.Load() || !p.mayEject(now) {
+		return
+	}
+	until := m.health.eject(p.origin.Add(time.Duration(now)))
+	end := int64(until.Sub(p.origin))
+	m.ejectedUntilNs.Store(end)
+	m.rampFromNs.Store(end)
+}
+
+// mayEject reports whether one more target may be ejected. Two targets that fail at the same
+// instant may pass the cap by one.
+func (p *Picker) mayEject(now int64) bool {
+	t := p.table.Load()
+	ejected := 0
+	for _, entries := range [][]entry{t.local, t.remote} {
+		for i := range entries {
+			if now < entries[i].ejectedUntilNs.Load() {
+				ejected++
+			}
+		}
+	}
+	total := len(t.local) + len(t.remote)
+	allowed := int(p.config.MaxEjected * float64(total))
+	if total > 1 && p.config.MaxEjected > 0 {
+		allowed = max(allowed, 1)
+	}
+	return ejected < allowed
+}
--- /dev/null
+++ b/internal/route/picker_test.go
@@ -0,0 +1,148 @@
+package route
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/registry"
+)
+
+func target(node, dataCentre string) *registry.Target {
+	return &registry.Target{Name: "t", Service: "s", Node: node, DataCentre: dataCentre, Slots: 10, State: apiv1.TargetState_TARGET_STATE_READY}
+}
+
+func picker(targets ...*registry.Target) *Picker {
+	p := NewPicker(DefaultConfig(), "kl", clock.System{}, 1)
+	p.Update(targets)
+	return p
+}
+
+// picks makes n calls that end with o and counts them by node.
+func picks(t *testing.T, p *Picker, n int, o func(node string) Observation) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		c, refusal := p.Pick(Query{})
+		require.Nil(t, refusal)
+		counts[c.Target().Node]++
+		c.Done(o(c.Target().Node))
+	}
+	return counts
+}
+
+func succeed(string) Observation {
+	return Observation{Kind: Success, Latency: 10 * time.Millisecond}
+}
+
+func TestPickPrefersOwnDataCentreUntilLoaded(t *testing.T) {
+	p := picker(target("near", "kl"), target("far", "shah-alam"))
+	require.Equal(t, 100, picks(t, p, 100, succeed)["near"])
+	full := func(string) Observation {
+		return Observation{Kind: Success, Latency: 10 * time.Millisecond, Load: &apiv1.LoadReport{InFlight: 10, Limit: 10}}
+	}
+	counts := picks(t, p, 100, full)
+	require.Positive(t, counts["far"])
+}
+
+func TestPickPrefersTheFasterTarget(t *testing.T) {
+	p := picker(target("fast", "kl"), target("slow", "kl"))
+	counts := picks(t, p, 200, func(node string) Observation {
+		if node == "slow" {
+			return Observation{Kind: Success, Latency: 100 * time.Millisecond}
+		}
+		return succeed(node)
+	})
+	require.Greater(t, counts["fast"], 190)
+}
+
+func TestNoNewWorkForTargetsThatLeaveOrDrain(t *testing.T) {
+	p := picker(target("a", "kl"), target("b", "kl"))
+	leaving := target("b", "kl")
+	leaving.State = apiv1.TargetState_TARGET_STATE_LEAVING
+	p.Update([]*registry.Target{target("a", "kl"), leaving})
+	require.Equal(t, 50, picks(t, p, 50, succeed)["a"])
+	c, _ := p.Pick(Query{})
+	c.Done(Observation{Kind: Refused, Load: &apiv1.LoadReport{Draining: true}})
+	_, refusal := p.Pick(Query{})
+	require.Equal(t, outcome.NoTarget, refusal.Code)
+	require.Equal(t, outcome.RanNo, refusal.Ran)
+}
+
+func TestExcludedTargetsAreNotPicked(t *testing.T) {
+	a, b := target("a", "kl"), target("b", "kl")
+	p := picker(a, b)
+	for range 20 {
+		c, refusal := p.Pick(Query{Exclude: []string{a.ID()}})
+		require.Nil(t, refusal)
+		require.Equal(t, "b", c.Target().Node)
+		c.Done(succeed(""))
+	}
+	_, refusal := p.Pick(Query{Exclude: []string{a.ID(), b.ID()}})
+	require.Equal(t, outcome.NoTarget, refusal.Code)
+}
+
+func TestFailingTargetIsEjectedUpToTheCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := picker(target("a", "kl"), target("b", "kl"), target("c", "kl"))
+		fail := func(node string) Observation {
+			if node == "a" {
+				return succeed(node)
+			}
+			return Observation{Kind: Failure}
+		}
+		picks(t, p, 200, fail)
+		counts := picks(t, p, 200, fail)
+		require.Len(t, counts, 2, "one of the two failing targets is ejected, the cap keeps the other")
+		time.Sleep(ejectMax + time.Second)
+		require.Len(t, picks(t, p, 300, succeed), 3, "an ejected target comes back")
+	})
+}
+
+func TestNewTargetStartsSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, c := target("a", "kl"), target("b", "kl"), target("c", "kl")
+		p := picker(a, b)
+		picks(t, p, 50, succeed)
+		p.Update([]*registry.Target{a, b, c})
+		early := picks(t, p, 300, succeed)["c"]
+		time.Sleep(DefaultSlowStart)
+		late := picks(t, p, 300, succeed)["c"]
+		require.Less(t, early, late/2)
+	})
+}
+
+func TestCutoffShedsByLevelAndAgesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := picker(target("a", "kl"))
+		q := Query{Route: "r", Organisation: "o", Level: 100}
+		c, _ := p.Pick(q)
+		c.Done(Observation{Kind: Success, Load: &apiv1.LoadReport{Cutoff: 100}})
+		_, refusal := p.Pick(q)
+		require.Equal(t, outcome.Overloaded, refusal.Code)
+		require.Positive(t, refusal.RetryAfter)
+		for _, passes := range []Query{{Route: "r", Organisation: "o", Level: 99}, {Route: "r", Organisation: "other", Level: 100}, {Route: "other", Organisation: "o", Level: 100}} {
+			c, refusal := p.Pick(passes)
+			require.Nil(t, refusal)
+			c.Done(Observation{Kind: Cancelled})
+		}
+		time.Sleep(cutoffHold + cutoffRamp)
+		_, refusal = p.Pick(q)
+		require.Nil(t, refusal)
+	})
+}
+
+func TestPickDoesNotAllocate(t *testing.T) {
+	p := picker(target("a", "kl"), target("b", "kl"), target("c", "putrajaya"))
+	load := &apiv1.LoadReport{InFlight: 1, Limit: 10}
+	q := Query{Route: "r", Organisation: "o", Level: 5}
+	allocations := testing.AllocsPerRun(1000, func() {
+		c, _ := p.Pick(q)
+		c.Done(Observation{Kind: Success, Latency: time.Millisecond, Load: load})
+	})
+	require.Zero(t, allocations)
+}
