Add an in-memory network for tests, and cause silent connections with it

memnet is a peer.Transport with delay, jitter, stalls, partitions, sessions that go silent for good in one or both directions, and crashes. It works inside testing/synctest bubbles. PoolOptions.Intercept lets tests lose, delay and repeat unary messages.

go test -race ./internal/peer: a connection made silent in each direction at each step of a call is found within 1.1 s of virtual time, the next call goes over a new connection, and a silent idle connection costs no call.

--- /dev/null
+++ b/internal/memnet/stream.go
@@ -0,0 +1,209 @@
+package memnet
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// streamWindow is the number of bytes that a stream holds for a reader that is slow.
+const streamWindow = 256 << 10
+
+// stream is one end of a stream. It implements net.Conn.
+type stream struct {
+	session *session
+	number  uint32
+
+	mu   sync.Mutex
+	cond *sync.Cond
+	// received holds the bytes that wait for Read.
+	received []byte
+	// consumed counts bytes read since the last window message.
+	consumed int
+	// room is how much may be written before the other end reads.
+	room     int
+	finished bool
+	closed   bool
+	dead     bool
+	readBy   deadline
+	writeBy  deadline
+}
+
+var _ net.Conn = (*stream)(nil)
+
+func newStream(s *session, number uint32) *stream {
+	st := &stream{session: s, number: number, room: streamWindow}
+	st.cond = sync.NewCond(&st.mu)
+	return st
+}
+
+// Read returns bytes that have arrived.
+func (st *stream) Read(p []byte) (int, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for len(st.received) == 0 {
+		switch {
+		case st.closed:
+			return 0, io.ErrClosedPipe
+		case st.finished, st.dead:
+			return 0, io.EOF
+		case st.readBy.passed():
+			return 0, os.ErrDeadlineExceeded
+		}
+		st.cond.Wait()
+	}
+	n := copy(p, st.received)
+	st.received = st.received[n:]
+	st.consumed += n
+	if st.consumed >= streamWindow/2 {
+		st.session.out.send(message{kind: kindWindow, stream: st.number, window: st.consumed})
+		st.consumed = 0
+	}
+	return n, nil
+}
+
+// Write sends p. It blocks while the other end has no room.
+func (st *stream) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		n, err := st.writePart(p[written:])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+func (st *stream) writePart(p []byte) (int, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for {
+		switch {
+		case st.closed, st.dead:
+			return 0, io.ErrClosedPipe
+		case st.writeBy.passed():
+			return 0, os.ErrDeadlineExceeded
+		}
+		if st.room > 0 {
+			break
+		}
+		st.cond.Wait()
+	}
+	n := min(len(p), st.room)
+	st.room -= n
+	st.session.out.send(message{kind: kindData, stream: st.number, data: append([]byte(nil), p[:n]...)})
+	return n, nil
+}
+
+// Close ends the stream at this end. The other end reads what was sent, and then io.EOF.
+func (st *stream) Close() error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.closed {
+		return nil
+	}
+	st.closed = true
+	st.readBy.stop()
+	st.writeBy.stop()
+	if !st.dead {
+		st.session.out.send(message{kind: kindFinish, stream: st.number})
+	}
+	if st.finished {
+		st.session.forget(st.number)
+	}
+	st.cond.Broadcast()
+	return nil
+}
+
+// receive takes a message that has arrived for the stream.
+func (st *stream) receive(m message) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	switch m.kind {
+	case kindData:
+		if !st.closed {
+			st.received = append(st.received, m.data...)
+		}
+	case kindWindow:
+		st.room += m.window
+	case kindFinish:
+		st.finished = true
+		if st.closed {
+			st.session.forget(st.number)
+		}
+	}
+	st.cond.Broadcast()
+}
+
+// reset ends the stream because its session ended.
+func (st *stream) reset() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.dead = true
+	st.readBy.stop()
+	st.writeBy.stop()
+	st.cond.Broadcast()
+}
+
+// SetDeadline sets both deadlines.
+func (st *stream) SetDeadline(t time.Time) error {
+	_ = st.SetReadDeadline(t)
+	return st.SetWriteDeadline(t)
+}
+
+// SetReadDeadline makes Read return os.ErrDeadlineExceeded from t on.
+func (st *stream) SetReadDeadline(t time.Time) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.setDeadline(&st.readBy, t)
+	return nil
+}
+
+// SetWriteDeadline makes Write return os.ErrDeadlineExceeded from t on.
+func (st *stream) SetWriteDeadline(t time.Time) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.setDeadline(&st.writeBy, t)
+	return nil
+}
+
+func (st *stream) setDeadline(d *deadline, t time.Time) {
+	d.stop()
+	d.at = t
+	if !t.IsZero() && !st.dead && !st.closed {
+		d.timer = time.AfterFunc(time.Until(t), st.cond.Broadcast)
+	}
+	st.cond.Broadcast()
+}
+
+// LocalAddr returns the name of this end's host.
+func (st *stream) LocalAddr() net.Addr { return address(st.session.out.way.from) }
+
+// RemoteAddr returns the name of the other end's host.
+func (st *stream) RemoteAddr() net.Addr { return address(st.session.out.way.to) }
+
+// deadline is a point in time and the timer that wakes waiters at it.
+type deadline struct {
+	at    time.Time
+	timer *time.Timer
+}
+
+func (d *deadline) passed() bool {
+	return !d.at.IsZero() && !time.Now().Before(d.at)
+}
+
+func (d *deadline) stop() {
+	if d.timer != nil {
+		d.timer.Stop()
+		d.timer = nil
+	}
+}
+
+// address is the name of a host.
+type address string
+
+func (a address) Network() string { return "memnet" }
+func (a address) String() string  { return string(a) }
--- /dev/null
+++ b/internal/peer/failure_test.go
@@ -0,0 +1,195 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/memnet"
+	"github.com/guavaford/guavaford/internal/peer"
+)
+
+// silenceBound is the time within which a silent connection is found: three
+// unanswered ping intervals after the first ping, and two delays.
+const silenceBound = 1100 * time.Millisecond
+
+// fixture is a pool on host a and a server on host b.
+type fixture struct {
+	t      *testing.T
+	net    *memnet.Network
+	pool   *peer.Pool
+	server *peer.Server
+	number uint64
+}
+
+func newFixture(t *testing.T, o peer.ServerOptions, handle func(context.Context, *peer.IncomingCall)) *fixture {
+	f := &fixture{t: t, net: memnet.New(1)}
+	f.net.SetLatency(func(string, string) memnet.Link {
+		return memnet.Link{Delay: time.Millisecond, Jitter: time.Millisecond}
+	})
+	f.server = peer.NewServer(peer.Identity{Node: "b", Incarnation: 2}, o)
+	f.server.HandleCall(handle)
+	listener, err := f.net.Host("b").Listen("b:1")
+	require.NoError(t, err)
+	go func() { _ = f.server.Serve(listener) }()
+	f.pool = peer.NewPool(peer.Identity{Node: "a", Incarnation: 1}, f.net.Host("a"), peer.PoolOptions{Seed: 1})
+	return f
+}
+
+// close ends everything, so that the bubble's goroutines can end.
+func (f *fixture) close() {
+	f.pool.Close()
+	f.server.Close()
+	f.net.Close()
+	synctest.Wait()
+}
+
+func (f *fixture) call(ctx context.Context, size int) (*peer.Answer, error) {
+	f.number++
+	header := &apiv1.CallHeader{
+		Key:           &apiv1.CallKey{Node: "a", Incarnation: 1, Number: f.number},
+		ContentLength: int64(size),
+	}
+	return f.pool.Call(ctx, "b:1", header, bytes.NewReader(make([]byte, size)))
+}
+
+// roundTrip makes one call and returns its error, whichever step it comes from.
+func (f *fixture) roundTrip(ctx context.Context, size int) error {
+	answer, err := f.call(ctx, size)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	got, err := io.ReadAll(answer.Body)
+	if err == nil {
+		require.Len(f.t, got, size)
+	}
+	return err
+}
+
+// echo answers a call with its body.
+func echo(_ context.Context, in *peer.IncomingCall) {
+	if in.Answer(&apiv1.AnswerHeader{Status: 200, ContentLength: in.Header.ContentLength}) != nil {
+		return
+	}
+	if _, err := io.Copy(in, in.Body); err != nil {
+		in.Abort()
+		return
+	}
+	_ = in.Finish(0)
+}
+
+// TestSilenceAtEachStep makes the connection silent in each direction while a
+// call is at each of its steps. The call fails as silent within the bound, the
+// handler learns that the connection was lost, and the next call works.
+func TestSilenceAtEachStep(t *testing.T) {
+	steps := []string{"before the call", "in the request body", "before the answer", "in the answer body"}
+	ways := map[string][][2]string{
+		"to the server":      {{"a", "b"}},
+		"from the server":    {{"b", "a"}},
+		"in both directions": {{"a", "b"}, {"b", "a"}},
+	}
+	for _, step := range steps {
+		for name, way := range ways {
+			t.Run(step+" "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { silenceAt(t, step, way) })
+			})
+		}
+	}
+}
+
+func silenceAt(t *testing.T, step string, way [][2]string) {
+	const size = 600 << 10 // more than the windows of both directions together
+	var current string
+	causes := make(chan error, 1)
+	var f *fixture
+	reach := func(here string) {
+		if here != current {
+			return
+		}
+		current = ""
+		for _, w := range way {
+			f.net.Silence(w[0], w[1])
+		}
+	}
+	f = newFixture(t, peer.ServerOptions{}, func(ctx context.Context, in *peer.IncomingCall) {
+		silenced := current != ""
+		_, _ = io.ReadFull(in.Body, make([]byte, size/2))
+		reach("in the request body")
+		_, _ = io.Copy(io.Discard, in.Body)
+		reach("before the answer")
+		_ = in.Answer(&apiv1.AnswerHeader{Status: 200, ContentLength: size})
+		_, _ = in.Write(make([]byte, size/2))
+		reach("in the answer body")
+		_, _ = in.Write(make([]byte, size/2))
+		_ = in.Finish(0)
+		if silenced {
+			<-ctx.Done()
+			causes <- context.Cause(ctx)
+		}
+	})
+	defer f.close()
+	require.NoError(t, f.roundTrip(context.Background(), size))
+	current = step
+	reached := step == "before the call"
+	reach("before the call")
+
+	begun := time.Now()
+	err := f.roundTrip(context.Background(), size)
+	var callErr *peer.CallError
+	require.ErrorAs(t, err, &callErr)
+	require.True(t, callErr.Silent, "%v", err)
+	require.True(t, callErr.Sent)
+	require.Less(t, time.Since(begun), silenceBound)
+
+	begun = time.Now()
+	require.NoError(t, f.roundTrip(context.Background(), size))
+	require.Less(t, time.Since(begun), 100*time.Millisecond)
+	if !reached {
+		require.ErrorIs(t, <-causes, peer.ErrSessionLost)
+	}
+}
+
+// TestSilentIdleConnectionIsProbed shows that a connection that went silent
+// while it was idle costs no call, and that it carried no pings meanwhile.
+func TestSilentIdleConnectionIsProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, peer.ServerOptions{}, echo)
+		defer f.close()
+		require.NoError(t, f.roundTrip(context.Background(), 1))
+		time.Sleep(time.Second)
+		before := f.net.Traffic("a").Messages
+		time.Sleep(time.Minute)
+		require.Equal(t, before, f.net.Traffic("a").Messages)
+		f.net.Silence("a", "b")
+		begun := time.Now()
+		require.NoError(t, f.roundTrip(context.Background(), 1))
+		require.Less(t, time.Since(begun), 300*time.Millisecond)
+	})
+}
+
+func TestCancelReachesHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		causes := make(chan error, 1)
+		f := newFixture(t, peer.ServerOptions{}, func(ctx context.Context, in *peer.IncomingCall) {
+			<-ctx.Done()
+			causes <- context.Cause(ctx)
+		})
+		defer f.close()
+		for _, size := range []int{0, 1 << 20} {
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			begun := time.Now()
+			err := f.roundTrip(ctx, size)
+			require.ErrorIs(t, err, context.DeadlineExceeded)
+			require.ErrorIs(t, <-causes, peer.ErrCancelled)
+			require.Less(t, time.Since(begun), 60*time.Millisecond)
+			cancel()
+		}
+	})
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -8,18 +8,24 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
 
 // PoolOptions adjust a Pool. The zero value is ready for use.
 type PoolOptions struct {
 	// Seed makes the jitter of reconnects repeatable; 0 draws one.
 	Seed uint64
+	// Intercept, when set, runs each unary exchange by calling do. Tests use it
+	// to lose, delay and repeat messages.
+	Intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
 }
 
 // Pool holds the connections of this node to other nodes.
 type Pool struct {
 	id        Identity
 	transport Transport
+	intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
 
 	mu     sync.RWMutex
 	routes map[string]*route
@@ -57,6 +63,7 @@
 	return &Pool{
 		id:        id,
 		transport: t,
+		intercept: o.Intercept,
 		routes:    make(map[string]*route),
 		rnd:       rand.New(rand.NewPCG(seed, seed)),
 	}
--- a/internal/peer/unary.go
+++ b/internal/peer/unary.go
@@ -15,6 +15,13 @@
 	if size := proto.Size(req); size > maxMessageBytes {
 		return &CallError{Address: address, Err: errors.Errorf("message has %d bytes; at most %d are sent", size, maxMessageBytes)}
 	}
+	if p.intercept != nil {
+		return p.intercept(ctx, address, m, func() error { return p.unary(ctx, address, m, req, resp) })
+	}
+	return p.unary(ctx, address, m, req, resp)
+}
+
+func (p *Pool) unary(ctx context.Context, address string, m apiv1.Method, req, resp proto.Message) error {
 	x, err := p.openExchange(ctx, address)
 	if err != nil {
 		return err
