--- a/cmd/guavaford/main.go
+++ b/cmd/guavaford/main.go
@@ -4,18 +4,16 @@
 import (
 	"context"
 	"os"
-
-	"github.com/pkg/errors"
+	"os/signal"
+	"syscall"
 
 	"github.com/guavaford/guavaford/internal/cli"
-	"github.com/guavaford/guavaford/internal/settings"
+	"github.com/guavaford/guavaford/internal/node"
 )
 
 func main() {
-	os.Exit(cli.Main(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr, runNode))
-}
-
-// runNode runs a process of the fleet.
-func runNode(context.Context, *settings.Node) error {
-	return errors.New("this build has no node")
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := cli.Main(ctx, os.Args, os.Stdin, os.Stdout, os.Stderr, node.Run)
+	stop()
+	os.Exit(code)
 }
