Replicate control over several groups and one log file

Replica.Serve(ctx) is the loop, since Run(ctx, request) serves run records. Open takes rate and run-record configurations instead of constructors.

--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -250,16 +251,10 @@
 		}
 		report(line, specPath(field), fmt.Sprintf(format, args...))
 	})
-	p.remember(resource, parts.nodes, "")
-	p.remember(resource, places, "spec.")
-	return resource, decoded
-}
-
-// remember keeps where the fields of a document stand, for Locate.
-func (p *parser) remember(r *apiv1.Resource, nodes map[string]*yaml.Node, prefix string) {
-	for field, node := range nodes {
-		p.source.places[place{r.GetKind(), r.GetName(), prefix + field}] = position{p.file, node.Line}
+	for field, node := range places {
+		p.source.places[place{resource.GetKind(), resource.GetName(), specPath(field)}] = position{p.file, node.Line}
 	}
+	return resource, decoded
 }
 
 // accept adds a document without faults to the source.
@@ -271,7 +266,11 @@
 		return
 	}
 	p.source.places[key] = position{p.file, root.Line}
-	resource.Spec = encodeSpec(decoded)
+	canonical, err := json.Marshal(decoded)
+	if err != nil {
+		panic(errors.Wrap(err, "a checked spec must have a JSON form"))
+	}
+	resource.Spec = canonical
 	p.source.Resources = append(p.source.Resources, resource)
 }
 
--- a/internal/config/target.go
+++ b/internal/config/target.go
@@ -7,8 +7,8 @@
 	"k8s.io/apimachinery/pkg/labels"
 )
 
-// AnyService as the service of a Target document stands for every service.
-const AnyService = "*"
+// anyService in a Target document stands for every service.
+const anyService = "*"
 
 // TargetPolicy is what applies to one target.
 type TargetPolicy struct {
@@ -43,16 +43,12 @@
 	return strings.Compare(a.name, b.name)
 }
 
-// Chooses returns true when the document applies to a target of a service with
-// these announced labels.
-func (s *TargetSpec) Chooses(service, name string, announced labels.Set) bool {
-	if s.Service != AnyService && s.Service != service {
-		return false
+// matches returns true when the document applies to a target.
+func (d *targetDocument) matches(name string, announced labels.Set) bool {
+	if d.spec.Target != "" {
+		return d.spec.Target == name
 	}
-	if s.Target != "" {
-		return s.Target == name
-	}
-	return s.Selector.Matches(announced)
+	return d.spec.Selector.Matches(announced)
 }
 
 // TargetPolicy returns what applies to a target. The announced labels must include
@@ -63,9 +59,9 @@
 func (s *Snapshot) TargetPolicy(service, name string, announced labels.Set, announcedSlots int) TargetPolicy {
 	policy := TargetPolicy{Labels: announced, Slots: announcedSlots}
 	slots := 0
-	for _, scope := range []string{AnyService, service} {
+	for _, scope := range []string{anyService, service} {
 		for _, d := range s.targets[scope] {
-			if !d.spec.Chooses(service, name, announced) {
+			if !d.matches(name, announced) {
 				continue
 			}
 			policy.apply(d.spec)
--- /dev/null
+++ b/internal/control/cluster_test.go
@@ -0,0 +1,215 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/memnet"
+	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/vfs"
+)
+
+// cluster runs whole replicas over an in-memory network in virtual time.
+type cluster struct {
+	t     *testing.T
+	net   *memnet.Network
+	names []string
+	hosts map[string]*testHost
+	next  uint64
+}
+
+// testHost is one host: its disk outlives its processes.
+type testHost struct {
+	name    string
+	fs      *vfs.Mem
+	replica *Replica
+	pool    *peer.Pool
+	cancel  context.CancelFunc
+	stopped chan error
+}
+
+// inCluster runs a test with n replicas that have founded a cluster.
+func inCluster(t *testing.T, n int, fn func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, net: memnet.New(1), hosts: map[string]*testHost{}}
+		c.net.SetLatency(func(string, string) memnet.Link {
+			return memnet.Link{Delay: time.Millisecond, Jitter: time.Millisecond}
+		})
+		for i := range n {
+			name := fmt.Sprintf("host-%d", i+1)
+			c.names = append(c.names, name)
+			c.hosts[name] = &testHost{name: name, fs: vfs.NewMem()}
+		}
+		for _, name := range c.names {
+			c.start(name)
+		}
+		c.eventually(10*time.Second, func() bool { return c.settled(n) })
+		fn(c)
+		for _, name := range c.names {
+			c.stop(name)
+		}
+		c.net.Close()
+	})
+}
+
+// start runs a new process on a host.
+func (c *cluster) start(name string) {
+	h := c.hosts[name]
+	c.next++
+	id := peer.Identity{Node: name, Incarnation: c.next}
+	transport := c.net.Host(name)
+	h.pool = peer.NewPool(id, transport, peer.PoolOptions{Seed: c.next})
+	server := peer.NewServer(id, peer.ServerOptions{})
+	replica, err := Open(Options{
+		DataFolder:      "data",
+		FS:              h.fs,
+		Identity:        id,
+		Address:         name,
+		DataCentre:      "kl",
+		InitialReplicas: c.names,
+		Pool:            h.pool,
+		Server:          server,
+		Check:           func([]*apiv1.Resource) []string { return nil },
+		RateShards:      4,
+		RunShards:       3,
+		Seed:            c.next,
+	})
+	require.NoError(c.t, err)
+	listener, err := transport.Listen(name)
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.replica, h.cancel, h.stopped = replica, cancel, make(chan error, 1)
+	go func() { _ = server.Serve(listener) }()
+	go func() {
+		err := replica.Serve(ctx)
+		server.Close()
+		h.pool.Close()
+		h.stopped <- err
+	}()
+}
+
+// stop ends the process on a host in order.
+func (c *cluster) stop(name string) {
+	h := c.hosts[name]
+	if h.cancel == nil {
+		return
+	}
+	h.cancel()
+	<-h.stopped
+	h.cancel = nil
+}
+
+// crash ends the process on a host and loses what was not synced.
+func (c *cluster) crash(name string) {
+	h := c.hosts[name]
+	h.fs.Crash()
+	c.net.Crash(name)
+	c.stop(name)
+	h.fs.Restart(rand.New(rand.NewPCG(c.next, 7)))
+}
+
+// eventually waits for a condition.
+func (c *cluster) eventually(limit time.Duration, condition func() bool) time.Duration {
+	c.t.Helper()
+	started := time.Now()
+	for !condition() {
+		if time.Since(started) > limit {
+			c.t.Fatalf("condition not met within %v", limit)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// settled reports whether all groups have a leader and n voters at every running replica.
+func (c *cluster) settled(n int) bool {
+	for _, h := range c.hosts {
+		if h.cancel == nil {
+			continue
+		}
+		status, err := h.replica.Status(context.Background())
+		if err != nil || !status.Vouched {
+			return false
+		}
+		for _, g := range status.Groups {
+			voters := 0
+			for _, r := range g.Replicas {
+				if !r.Replica.Learner {
+					voters++
+				}
+			}
+			if g.Leader == 0 || voters != n {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// leader returns the host that leads group 0.
+func (c *cluster) leader() string {
+	for name, h := range c.hosts {
+		if h.cancel != nil && h.replica.view.Load().leads(0) {
+			return name
+		}
+	}
+	return ""
+}
+
+// other returns a running host that is none of those named.
+func (c *cluster) other(not ...string) string {
+	for _, name := range c.names {
+		taken := false
+		for _, n := range not {
+			taken = taken || n == name
+		}
+		if !taken && c.hosts[name].cancel != nil {
+			return name
+		}
+	}
+	return ""
+}
+
+func (c *cluster) propose(name string, change *apiv1.Change) *apiv1.ChangeOutcome {
+	response, err := c.hosts[name].replica.Propose(context.Background(), &apiv1.ProposeRequest{Change: change})
+	require.NoError(c.t, err)
+	return response.Outcome
+}
+
+// change sets one organisation at any revision.
+func change(id string) *apiv1.Change {
+	return &apiv1.Change{
+		Id:          id,
+		AnyRevision: true,
+		Upserts:     []*apiv1.Resource{{Kind: organisationKind, Name: "org-" + id}},
+	}
+}
+
+const organisationKind = "Organisation"
+
+func TestChangesSurviveTheLossOfTheLeader(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		first := c.propose("host-2", change("a"))
+		require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, first.Result)
+		old := c.leader()
+		c.crash(old)
+		lost := time.Now()
+		survivor := c.other(old)
+		outcome := c.propose(survivor, change("b"))
+		require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, outcome.Result)
+		require.LessOrEqual(t, time.Since(lost), 2*time.Second, "failover")
+		t.Logf("failover %v", time.Since(lost))
+		resent := c.propose(survivor, change("a"))
+		require.Equal(t, first.Revision, resent.Revision)
+		c.start(old)
+		c.eventually(5*time.Second, func() bool { return c.settled(3) })
+		require.Equal(t, outcome.Revision, c.hosts[old].replica.store.Head().Load().Revision)
+	})
+}
--- /dev/null
+++ b/internal/control/duties.go
@@ -0,0 +1,281 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/replica"
+)
+
+// Times of the leader's duties.
+const (
+	// replicaTimeout is the time without a sign of life after which an owner's shards move.
+	replicaTimeout = 1200 * time.Millisecond
+	// balancePause is the least time between two moves that only even out the load.
+	balancePause = 10 * time.Second
+	// leaderPause is the time between two looks at where leaders should be.
+	leaderPause = 3 * time.Second
+	dutyTimeout = time.Second
+)
+
+// balance paces the moves that even out the load.
+type balance struct {
+	nextShard  time.Time
+	nextLeader time.Time
+	assigning  bool
+}
+
+// duties executes what a leader owes its groups. It runs on the loop.
+func (r *Replica) duties(now time.Time) {
+	for i := range r.engine.groups {
+		r.advanceMembership(now, uint32(i))
+	}
+	r.assignShards(now)
+	r.spreadLeaders(now)
+}
+
+// advanceMembership takes one step: in group 0 learners that have caught up become voters;
+// the other groups follow the committed membership of group 0.
+func (r *Replica) advanceMembership(now time.Time, number uint32) {
+	core := r.engine.groups[number].core
+	if !core.Settled() {
+		return
+	}
+	var next *apiv1.Membership
+	if number == 0 {
+		next = promotion(core.Peers(), nil)
+	} else {
+		next = convergence(core.Peers(), r.engine.groups[0].core.SnapshotAt().Membership)
+	}
+	if next == nil {
+		return
+	}
+	if err := core.ProposeMembership(now, next); err != nil {
+		r.o.Log.Debug("membership step refused", "group", number, "err", err)
+		return
+	}
+	r.o.Log.Info("membership changes", "group", number, "replicas", len(next.Replicas))
+}
+
+// promotion returns the membership in which one caught-up learner votes; nil if there is none.
+// A non-nil target restricts it to the replicas that vote there.
+func promotion(peers []replica.Peer, target *apiv1.Membership) *apiv1.Membership {
+	next := &apiv1.Membership{}
+	promoted := false
+	for _, p := range peers {
+		member := p.Replica
+		if member.Learner && p.CaughtUp && !promoted && (target == nil || votes(target, member.Id)) {
+			member = proto.CloneOf(member)
+			member.Learner = false
+			promoted = true
+		}
+		next.Replicas = append(next.Replicas, member)
+	}
+	if !promoted {
+		return nil
+	}
+	return next
+}
+
+func votes(m *apiv1.Membership, id uint64) bool {
+	return slices.ContainsFunc(m.Replicas, func(r *apiv1.ReplicaInfo) bool { return r.Id == id && !r.Learner })
+}
+
+// convergence returns the next step from the members of a group to the target; nil if none is due.
+func convergence(peers []replica.Peer, target *apiv1.Membership) *apiv1.Membership {
+	current := &apiv1.Membership{}
+	for _, p := range peers {
+		current.Replicas = append(current.Replicas, p.Replica)
+	}
+	for _, member := range current.Replicas {
+		if find(target, member.Id) == nil && hasOtherVoter(current, member.Id) {
+			return without(current, member.Id)
+		}
+	}
+	for _, wanted := range target.Replicas {
+		member := find(current, wanted.Id)
+		if member == nil {
+			learner := proto.CloneOf(wanted)
+			learner.Learner = true
+			return &apiv1.Membership{Replicas: append(current.Replicas, learner)}
+		}
+		updated := proto.CloneOf(wanted)
+		updated.Learner = member.Learner
+		if !proto.Equal(member, updated) {
+			next := without(current, wanted.Id)
+			next.Replicas = append(next.Replicas, updated)
+			return next
+		}
+	}
+	return promotion(peers, target)
+}
+
+func find(m *apiv1.Membership, id uint64) *apiv1.ReplicaInfo {
+	for _, r := range m.Replicas {
+		if r.Id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func hasOtherVoter(m *apiv1.Membership, id uint64) bool {
+	return slices.ContainsFunc(m.Replicas, func(r *apiv1.ReplicaInfo) bool { return r.Id != id && !r.Learner })
+}
+
+// candidate is a live replica that may own shards.
+type candidate struct {
+	info        *apiv1.ReplicaInfo
+	incarnation uint64
+}
+
+// candidates lists the live voters of group 0 in a fixed order.
+func (r *Replica) candidates(now time.Time) []candidate {
+	var live []candidate
+	for _, p := range r.engine.groups[0].core.Peers() {
+		switch {
+		case p.Replica.Learner:
+		case p.Replica.Id == r.log.Identity().Replica:
+			live = append(live, candidate{p.Replica, r.o.Identity.Incarnation})
+		case now.Sub(p.Heard) < replicaTimeout && r.known[p.Replica.Id].incarnation != 0:
+			live = append(live, candidate{p.Replica, r.known[p.Replica.Id].incarnation})
+		}
+	}
+	slices.SortFunc(live, func(a, b candidate) int {
+		if a.info.Id < b.info.Id {
+			return -1
+		}
+		return 1
+	})
+	return live
+}
+
+// assignShards moves the rate shards of dead or restarted owners to live replicas.
+func (r *Replica) assignShards(now time.Time) {
+	if len(r.engine.groups) == 0 || !r.engine.groups[0].core.Settled() || r.balance.assigning {
+		return
+	}
+	mayBalance := now.After(r.balance.nextShard)
+	plan := planShards(r.store.Head().Load().Owners, r.candidates(now), mayBalance)
+	if plan == nil {
+		return
+	}
+	r.balance.nextShard = now.Add(balancePause)
+	r.balance.assigning = true
+	r.start(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dutyTimeout)
+		defer cancel()
+		r.submitStore(ctx, &apiv1.StoreCommand{Assignment: plan})
+		r.post(func(time.Time) { r.balance.assigning = false })
+	})
+}
+
+// planShards returns new owners for the shards whose owner is not among the live replicas, each to
+// the one with the fewest. When balancing, it also moves one shard from the replica with the
+// most to the one with the fewest. It returns nil if nothing is to move.
+func planShards(owners []*apiv1.ShardOwner, live []candidate, mayBalance bool) *apiv1.ShardAssignment {
+	if len(live) == 0 {
+		return nil
+	}
+	counts := make([]int, len(live))
+	var orphans []*apiv1.ShardOwner
+	for _, owner := range owners {
+		i := ownerIndex(owner, live)
+		if i < 0 {
+			orphans = append(orphans, owner)
+			continue
+		}
+		counts[i]++
+	}
+	plan := &apiv1.ShardAssignment{}
+	for _, orphan := range orphans {
+		i := indexOfMin(counts)
+		counts[i]++
+		plan.Owners = append(plan.Owners, assign(orphan, live[i]))
+	}
+	if len(orphans) == 0 && mayBalance {
+		if moved := evenOut(owners, live, counts); moved != nil {
+			plan.Owners = append(plan.Owners, moved)
+		}
+	}
+	if len(plan.Owners) == 0 {
+		return nil
+	}
+	return plan
+}
+
+// evenOut moves one shard if the most and the least loaded replica differ by more than one.
+func evenOut(owners []*apiv1.ShardOwner, live []candidate, counts []int) *apiv1.ShardOwner {
+	least := indexOfMin(counts)
+	for _, owner := range owners {
+		if i := ownerIndex(owner, live); counts[i] == slices.Max(counts) && counts[i] > counts[least]+1 {
+			return assign(owner, live[least])
+		}
+	}
+	return nil
+}
+
+func ownerIndex(owner *apiv1.ShardOwner, live []candidate) int {
+	return slices.IndexFunc(live, func(c candidate) bool {
+		return c.info.Id == owner.Replica && c.incarnation == owner.Incarnation
+	})
+}
+
+func indexOfMin(counts []int) int {
+	return slices.Index(counts, slices.Min(counts))
+}
+
+func assign(old *apiv1.ShardOwner, to candidate) *apiv1.ShardOwner {
+	return &apiv1.ShardOwner{
+		Shard:       old.Shard,
+		Replica:     to.info.Id,
+		Address:     to.info.Address,
+		Epoch:       old.Epoch,
+		Incarnation: to.incarnation,
+	}
+}
+
+// spreadLeaders hands the leadership of run-record groups to their preferred replicas.
+func (r *Replica) spreadLeaders(now time.Time) {
+	if r.stopping.Load() || now.Before(r.balance.nextLeader) {
+		return
+	}
+	r.balance.nextLeader = now.Add(leaderPause)
+	for i, g := range r.engine.groups {
+		if i == 0 || !g.core.Settled() {
+			continue
+		}
+		if to := preferredLeader(g.core.Peers(), i); to != 0 {
+			g.core.Transfer(now, to)
+		}
+	}
+}
+
+// preferredLeader picks the voter that should lead the group with the given ordinal; 0 if
+// that one is not ready.
+func preferredLeader(peers []replica.Peer, ordinal int) uint64 {
+	var voters []replica.Peer
+	for _, p := range peers {
+		if !p.Replica.Learner {
+			voters = append(voters, p)
+		}
+	}
+	if len(voters) == 0 {
+		return 0
+	}
+	slices.SortFunc(voters, func(a, b replica.Peer) int {
+		if a.Replica.Id < b.Replica.Id {
+			return -1
+		}
+		return 1
+	})
+	preferred := voters[ordinal%len(voters)]
+	if !preferred.CaughtUp {
+		return 0
+	}
+	return preferred.Replica.Id
+}
--- /dev/null
+++ b/internal/control/ownership.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/config"
+	"github.com/guavaford/guavaford/internal/store"
+)
+
+// An owner of a rate shard may grant tokens only while a quorum confirmed, at most ownershipLease
+// ago, a state of the log in which it is the owner. A new owner learns of its assignment from a
+// round that began after the assignment was committed, hence after every round that
+// confirmed the old owner; it waits ownershipLease and the life of a token lease from then on
+// (rate.Config.TakeoverWait) before it grants.
+const (
+	ownershipLease   = time.Second
+	ownershipRenewal = 250 * time.Millisecond
+)
+
+// ownership implements rate.Ownership.
+type ownership struct {
+	r     *Replica
+	state atomic.Pointer[confirmedOwners]
+
+	mu    sync.Mutex
+	since map[shardEpoch]time.Time
+}
+
+// confirmedOwners are the owners that a quorum round confirmed.
+type confirmedOwners struct {
+	started time.Time
+	owners  []*apiv1.ShardOwner
+}
+
+type shardEpoch struct {
+	shard uint32
+	epoch uint64
+}
+
+func newOwnership(r *Replica) *ownership {
+	return &ownership{r: r, since: map[shardEpoch]time.Time{}}
+}
+
+// confirmed takes over the owners after a quorum round that began at started.
+func (o *ownership) confirmed(started time.Time, head *store.Head) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.r.o.Clock.Now()
+	current := map[shardEpoch]time.Time{}
+	for _, owner := range head.Owners {
+		if !o.own(owner) {
+			continue
+		}
+		key := shardEpoch{owner.Shard, owner.Epoch}
+		since, ok := o.since[key]
+		if !ok {
+			since = now
+		}
+		current[key] = since
+	}
+	o.since = current
+	o.state.Store(&confirmedOwners{started: started, owners: head.Owners})
+}
+
+// own reports whether this very process is the owner: a restarted one has forgotten
+// what it granted and needs a new epoch.
+func (o *ownership) own(owner *apiv1.ShardOwner) bool {
+	return owner.Replica == o.r.view.Load().identity.Replica && owner.Incarnation == o.r.o.Identity.Incarnation
+}
+
+// Owned returns the epoch of this replica's ownership of a shard and when it began here.
+func (o *ownership) Owned(shard uint32) (epoch uint64, since time.Time, ok bool) {
+	state := o.state.Load()
+	if state == nil || int(shard) >= len(state.owners) {
+		return 0, time.Time{}, false
+	}
+	owner := state.owners[shard]
+	if !o.own(owner) || o.r.o.Clock.Now().Sub(state.started) >= ownershipLease {
+		return 0, time.Time{}, false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	since, ok = o.since[shardEpoch{shard, owner.Epoch}]
+	return owner.Epoch, since, ok
+}
+
+// keepOwnership renews the confirmation while this replica owns a shard.
+func (r *Replica) keepOwnership(ctx context.Context) {
+	for sleep(ctx, ownershipRenewal) {
+		for _, owner := range r.store.Head().Load().Owners {
+			if r.ownership.own(owner) {
+				r.confirmer.wait(ctx)
+				break
+			}
+		}
+	}
+}
+
+// Lease answers a node's request for tokens.
+func (r *Replica) Lease(ctx context.Context, request *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error) {
+	return r.owner.Lease(ctx, request)
+}
+
+// limits looks up rates in the configuration that is applied here.
+type limits struct {
+	store    *store.Store
+	mu       sync.Mutex
+	compiled atomic.Pointer[config.Snapshot]
+}
+
+func newLimits(s *store.Store) *limits {
+	return &limits{store: s}
+}
+
+// Limits returns the rate and burst of an organisation.
+func (l *limits) Limits(organisation string) (perSecond, burst float64, ok bool) {
+	snapshot := l.current()
+	if snapshot == nil {
+		return 0, 0, false
+	}
+	org, ok := snapshot.Organisations[organisation]
+	if !ok {
+		return 0, 0, false
+	}
+	return org.Rate, org.Burst, true
+}
+
+// current compiles the configuration once for each revision.
+func (l *limits) current() *config.Snapshot {
+	revision := l.store.Head().Load().Revision
+	if compiled := l.compiled.Load(); compiled != nil && compiled.Revision >= revision {
+		return compiled
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if compiled := l.compiled.Load(); compiled != nil && compiled.Revision >= revision {
+		return compiled
+	}
+	source := l.store.ConfigSnapshot()
+	compiled, err := config.Compile(source.Revision, source.Resources)
+	if err != nil {
+		return l.compiled.Load()
+	}
+	l.compiled.Store(compiled)
+	return compiled
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -1,161 +1,470 @@
-// Package control is one process's control replica.
+// Package control is the control replica of a process, and the client of control replicas.
+//
+// # Concepts
+//
+// A replica hosts several groups over one log file. Group 0 replicates the configuration
+// (package store). Groups 1 to N each replicate one shard of the run records
+// (package runrecord), and their leaders are spread over the replicas.
+//
+// One goroutine, the loop, owns the engine with all groups. Everything else posts functions to it
+// and never touches the engine. The loop drains what was posted, executes the work that came up
+// with one sync for all groups, and passes the messages to one sender for each replica.
+//
+// # Data flow
+//
+//	Propose, Run ─▶ leader (relayed if elsewhere) ─▶ engine ─▶ log ─▶ state machine ─▶ answer
+//	Sync ─▶ confirmer (quorum round) ─▶ store, registry ─▶ answer with news
+//	confirmer ─▶ ownership of rate shards ─▶ rate.Owner ─▶ Lease
+//
+// # What an answer means
+//
+// Propose says "accepted" only after the change was committed and applied here or at the replica
+// that the request was relayed to. A leader that was deposed meanwhile answers "unknown" or, with
+// proof that the change never takes effect, "unavailable".
+//
+// Sync vouches for a revision only after a quorum round that began after the request came in.
 package control
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/proto"
+	"github.com/pkg/errors"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/config"
+	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/rate"
+	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/runrecord"
 	"github.com/guavaford/guavaford/internal/store"
 	"github.com/guavaford/guavaford/internal/telemetry"
+	"github.com/guavaford/guavaford/internal/vfs"
+	"github.com/guavaford/guavaford/internal/wal"
+)
+
+// Errors that end Serve.
+var (
+	ErrRemoved = errors.New("this replica was removed from the cluster; it can join anew with an empty data folder")
+	// ErrStopped is returned by requests to a replica that does not run.
+	ErrStopped = errors.New("control replica is not running")
 )
 
 // Options of a replica.
 type Options struct {
 	DataFolder string
-	// Node is the name of this host, and Incarnation the number of this process.
-	Node        string
-	Incarnation uint64
-	// Address is the peer address of this host.
+	// FS is the file system of the data folder; nil is the operating system's.
+	FS       vfs.FS
+	Identity peer.Identity
+	// Address is the peer address under which other replicas reach this one.
 	Address    string
 	DataCentre string
 	// InitialReplicas are the peer addresses of the replicas that found the cluster together;
-	// empty or only the own address founds a group of one.
+	// empty or only the own address founds a cluster of one unless there are Seeds.
 	InitialReplicas []string
-	Bootstrap       bool
-	// Check validates a whole configuration; nil accepts every one.
+	// Seeds are addresses of replicas of a running cluster to join.
+	Seeds []string
+	// Bootstrap founds the cluster even if not all initial replicas answer. It never does so
+	// beside a cluster that answers.
+	Bootstrap bool
+	Pool      *peer.Pool
+	Server    *peer.Server
+	// Relay is the registry of targets; nil makes one.
+	Relay *registry.Relay
+	// Check validates a whole configuration; nil is config.Check.
 	Check store.Checker
-	// NewRunTable makes the state machine of one shard of run records.
-	NewRunTable func() RunTable
-	Registry    Registry
-	RateShards  uint32
-	RunShards   uint32
-	Clock       clock.Clock
-	Log         telemetry.Logger
+	// RateShards and RunShards are fixed when the cluster is founded.
+	RateShards uint32
+	RunShards  uint32
+	Rate       rate.Config
+	RunRecords runrecord.Config
+	Clock      clock.Clock
+	Log        telemetry.Logger
+	// Seed makes timeouts and identities repeatable in tests; 0 draws one.
+	Seed uint64
 }
 
+const (
+	defaultRateShards = 32
+	defaultRunShards  = 7
+	tickInterval      = 20 * time.Millisecond
+	dutyInterval      = 200 * time.Millisecond
+	eventBuffer       = 4096
+	// MaxReplicas bounds the replicas of a cluster.
+	MaxReplicas = 7
+)
+
 // Replica is a control replica.
 type Replica struct {
-	options Options
-	store   *store.Store
+	o      Options
+	log    *wal.Log
+	store  *store.Store
+	relay  *registry.Relay
+	owner  *rate.Owner
+	tables []*runrecord.Table
+	rnd    *rand.Rand
+
+	events  chan func(now time.Time)
+	stopped chan struct{}
+	view    atomic.Pointer[view]
+	// proposing is held while a change is validated and proposed.
+	proposing chan struct{}
+	confirmer *confirmer
+	ownership *ownership
+	senders   *senders
+	stopping  atomic.Bool
+
+	// Owned by the loop.
+	engine  *engine
+	known   map[uint64]knownReplica
+	stamps  []stamp
+	balance balance
+	failure error
+
+	workers sync.WaitGroup
+}
+
+// knownReplica is what messages tell of another replica.
+type knownReplica struct {
+	address     string
+	incarnation uint64
+}
+
+// view is what the loop publishes of its state. It is immutable.
+type view struct {
+	identity *apiv1.ReplicaIdentity
+	groups   []groupView
+	// members of group 0 in force at this replica.
+	members []*apiv1.ReplicaInfo
+}
 
-	mu     sync.Mutex
-	tables []RunTable
-	index  uint64
+// groupView is the leadership of one group as this replica knows it.
+type groupView struct {
+	leader  uint64
+	settled bool // this replica leads and has committed an entry of its term
 }
 
-// Open starts a replica on its data folder.
+// Open opens the data folder and registers the handlers on the server. It returns an error for a
+// folder that is damaged, in use, or belongs to another node.
 func Open(o Options) (*Replica, error) {
-	r := &Replica{options: o, store: store.New(o.Check)}
-	for range o.RunShards {
-		r.tables = append(r.tables, o.NewRunTable())
+	o = withDefaults(o)
+	rnd := rand.New(rand.NewPCG(o.Seed, o.Identity.Incarnation))
+	fresh := func() *apiv1.ReplicaIdentity {
+		return &apiv1.ReplicaIdentity{Replica: rnd.Uint64() | 1, Node: o.Identity.Node}
+	}
+	log, recovered, err := wal.Open(o.FS, o.DataFolder, o.Identity.Node, fresh)
+	if err != nil {
+		return nil, errors.Wrap(err, "control replica")
+	}
+	r := &Replica{
+		o:         o,
+		log:       log,
+		store:     store.New(o.Check),
+		relay:     o.Relay,
+		rnd:       rnd,
+		events:    make(chan func(time.Time), eventBuffer),
+		stopped:   make(chan struct{}),
+		proposing: make(chan struct{}, 1),
+		engine:    newEngine(log, rnd),
+		known:     map[uint64]knownReplica{},
+	}
+	r.confirmer = newConfirmer(r)
+	r.ownership = newOwnership(r)
+	r.owner = rate.NewOwner(r.ownership, newLimits(r.store), o.Clock, o.Rate)
+	r.senders = newSenders(r)
+	if log.Identity().Cluster != 0 {
+		if err := r.addGroups(recovered); err != nil {
+			_ = log.Close()
+			return nil, err
+		}
 	}
-	r.apply(&apiv1.StoreCommand{Setup: &apiv1.ClusterSetup{RateShards: o.RateShards, RunShards: o.RunShards}})
+	r.publish()
+	r.register()
 	return r, nil
 }
 
-// Serve runs the replica until the context ends.
-func (r *Replica) Serve(ctx context.Context) error {
-	<-ctx.Done()
+func withDefaults(o Options) Options {
+	if o.FS == nil {
+		o.FS = vfs.OS{}
+	}
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	if o.Log == nil {
+		o.Log = telemetry.Discard()
+	}
+	if o.Check == nil {
+		o.Check = func(resources []*apiv1.Resource) []string { return config.Check(resources).Strings() }
+	}
+	if o.RateShards == 0 {
+		o.RateShards = defaultRateShards
+	}
+	if o.RunShards == 0 {
+		o.RunShards = defaultRunShards
+	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	if o.Relay == nil {
+		o.Relay = registry.NewRelay(registry.RelayOptions{Node: o.Identity.Node, Incarnation: o.Identity.Incarnation})
+	}
+	o.Rate.OwnerLease = ownershipLease
+	return o
+}
+
+// addGroups hosts the groups that the identity names, with what was recovered of them.
+func (r *Replica) addGroups(recovered map[uint32]*wal.Group) error {
+	now := r.o.Clock.Now()
+	for i, machine := range r.machines(r.log.Identity().RunShards) {
+		if err := r.engine.addGroup(now, machine, recovered[uint32(i)]); err != nil {
+			return err
+		}
+	}
+	r.stamps = make([]stamp, len(r.engine.groups))
 	return nil
 }
 
-// TransferLeadership hands leadership over before a planned stop.
-func (r *Replica) TransferLeadership(context.Context) {}
+// machines returns the state machines of all groups, fresh but for the store.
+func (r *Replica) machines(runShards uint32) []StateMachine {
+	machines := []StateMachine{r.store}
+	r.tables = nil
+	for range runShards {
+		table := runrecord.NewTable(r.o.RunRecords)
+		r.tables = append(r.tables, table)
+		machines = append(machines, table)
+	}
+	return machines
+}
 
-func (r *Replica) apply(command *apiv1.StoreCommand) *apiv1.StoreReply {
-	data, err := proto.Marshal(command)
-	if err != nil {
-		panic(err)
+// info describes this replica as a member.
+func (r *Replica) info() *apiv1.ReplicaInfo {
+	return &apiv1.ReplicaInfo{
+		Id:         r.log.Identity().Replica,
+		Node:       r.o.Identity.Node,
+		Address:    r.o.Address,
+		DataCentre: r.o.DataCentre,
 	}
-	r.index++
-	var reply apiv1.StoreReply
-	if err := proto.Unmarshal(r.store.Apply(r.index, data), &reply); err != nil {
-		panic(err)
+}
+
+// Serve runs the replica until ctx ends or the replica can't go on: the log took no more writes,
+// or the replica was removed.
+func (r *Replica) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.senders.ctx.Store(&ctx)
+	r.start(func() { r.confirmer.run(ctx) })
+	r.start(func() { r.keepOwnership(ctx) })
+	r.start(func() { r.keepMembership(ctx) })
+	r.start(func() { r.relayRegistry(ctx) })
+	err := r.loop(ctx)
+	close(r.stopped)
+	cancel()
+	r.engine.abandon()
+	r.workers.Wait()
+	if closeErr := r.log.Close(); err == nil {
+		err = closeErr
 	}
-	return &reply
+	return err
 }
 
-// Propose submits a change.
-func (r *Replica) Propose(_ context.Context, request *apiv1.ProposeRequest) (*apiv1.ProposeResponse, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	reply := r.apply(r.store.Validate(request.Change))
-	return &apiv1.ProposeResponse{Outcome: reply.Outcome}, nil
+func (r *Replica) start(worker func()) {
+	r.workers.Add(1)
+	go func() {
+		defer r.workers.Done()
+		worker()
+	}()
 }
 
-// Sync vouches for the revision, and returns early on news.
-func (r *Replica) Sync(ctx context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
-	response := &apiv1.SyncResponse{Vouched: true, VouchedRevision: r.store.Head().Load().Revision}
-	if r.options.Registry != nil {
-		response.WantAnnounced = r.options.Registry.Announced(r.options.Clock.Now(), request)
-	}
-	response.RegistrySource = r.options.Node
-	wait := time.NewTimer(time.Duration(request.WaitNs))
-	defer wait.Stop()
+// loop owns the engine.
+func (r *Replica) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var nextDuty time.Time
 	for {
-		_, changed := r.store.Head().Watch()
-		var registryChanged <-chan struct{}
-		if r.options.Registry != nil {
-			registryChanged = r.options.Registry.Changed()
-			response.Services = r.options.Registry.Updates(request)
+		ticked := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-r.events:
+			event(r.o.Clock.Now())
+		case <-ticker.C:
+			ticked = true
+		}
+		r.drain()
+		now := r.o.Clock.Now()
+		if ticked {
+			// After the messages: a replica that was held up must not mistake its own delay for silence.
+			r.engine.tick(now)
+		}
+		if ticked && now.After(nextDuty) {
+			nextDuty = now.Add(dutyInterval)
+			r.duties(now)
 		}
-		news := r.store.Since(request.Revision)
-		response.Snapshot, response.Deltas = news.Snapshot, news.Deltas
-		if news.Snapshot != nil || len(news.Deltas) > 0 || len(response.Services) > 0 || response.WantAnnounced {
-			break
+		if err := r.engine.process(); err != nil {
+			r.o.Log.Error("control replica stops", "err", err)
+			return err
 		}
+		if r.failure != nil {
+			return r.failure
+		}
+		r.flush()
+		r.publish()
+	}
+}
+
+// drain executes the events that have queued up, so that one sync covers them.
+func (r *Replica) drain() {
+	for range eventBuffer {
 		select {
-		case <-changed:
-			continue
-		case <-registryChanged:
-			continue
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-wait.C:
+		case event := <-r.events:
+			event(r.o.Clock.Now())
+		default:
+			return
 		}
-		break
 	}
-	head := r.store.Head().Load()
-	self := &apiv1.ReplicaInfo{Id: 1, Node: r.options.Node, Address: r.options.Address, DataCentre: r.options.DataCentre}
-	response.Placement = &apiv1.Placement{
-		Revision:   head.Revision,
-		Replicas:   []*apiv1.ReplicaInfo{self},
-		RateShards: head.RateShards,
-		RunShards:  head.RunShards,
+}
+
+// post hands a function to the loop; false means that the replica has stopped.
+func (r *Replica) post(event func(now time.Time)) bool {
+	select {
+	case <-r.stopped:
+		return false
+	default:
 	}
-	for shard := range head.RateShards {
-		response.Placement.RateOwners = append(response.Placement.RateOwners,
-			&apiv1.ShardOwner{Shard: shard, Replica: 1, Address: r.options.Address, Epoch: 1})
+	select {
+	case r.events <- event:
+		return true
+	case <-r.stopped:
+		return false
 	}
-	return response, nil
 }
 
-// Lease asks the owner of a rate shard for tokens.
-func (r *Replica) Lease(_ context.Context, request *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error) {
-	return &apiv1.LeaseResponse{Sequence: request.Sequence, NotOwner: true}, nil
+// fail ends the loop with an error.
+func (r *Replica) fail(err error) {
+	if r.failure == nil {
+		r.failure = err
+	}
 }
 
-// Run claims or finishes a run record.
-func (r *Replica) Run(_ context.Context, request *apiv1.RunRequest) (*apiv1.RunResponse, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	data, err := proto.Marshal(request)
-	if err != nil {
-		return nil, err
+// flush passes the messages of the engine to the senders.
+func (r *Replica) flush() {
+	for id, messages := range r.engine.outbox {
+		delete(r.engine.outbox, id)
+		if address := r.addressOf(id); address != "" {
+			r.senders.push(address, messages)
+		}
+	}
+}
+
+// addressOf finds the peer address of a replica. The membership is the authority; a replica
+// that has no log yet knows its leader only from messages.
+func (r *Replica) addressOf(id uint64) string {
+	for _, g := range r.engine.groups {
+		for _, member := range g.core.Membership().Replicas {
+			if member.Id == id {
+				return member.Address
+			}
+		}
+	}
+	return r.known[id].address
+}
+
+// publish updates the view if anything in it changed.
+func (r *Replica) publish() {
+	next := &view{identity: r.log.Identity()}
+	for _, g := range r.engine.groups {
+		next.groups = append(next.groups, groupView{leader: g.core.Leader(), settled: g.core.Settled()})
+	}
+	if len(r.engine.groups) > 0 {
+		next.members = r.engine.groups[0].core.Membership().Replicas
+	}
+	if old := r.view.Load(); old == nil || !next.equal(old) {
+		r.view.Store(next)
+	}
+}
+
+func (v *view) equal(o *view) bool {
+	if v.identity != o.identity || len(v.groups) != len(o.groups) || len(v.members) != len(o.members) {
+		return false
+	}
+	for i := range v.groups {
+		if v.groups[i] != o.groups[i] {
+			return false
+		}
+	}
+	for i := range v.members {
+		if v.members[i] != o.members[i] {
+			return false
+		}
 	}
-	r.index++
-	response := &apiv1.RunResponse{}
-	return response, proto.Unmarshal(r.tables[request.Shard].Apply(r.index, data), response)
+	return true
 }
 
-// Status describes control as this replica sees it.
-func (r *Replica) Status(context.Context) (*apiv1.ControlStatus, error) {
-	return &apiv1.ControlStatus{Revision: r.store.Head().Load().Revision, Vouched: true}, nil
+// leads reports whether this replica leads a group and may serve it.
+func (v *view) leads(group uint32) bool {
+	return int(group) < len(v.groups) && v.groups[group].leader == v.identity.Replica
 }
 
-var _ Service = (*Replica)(nil)
+// leaderAddress returns where the leader of a group is reached; "" if it is not known.
+func (v *view) leaderAddress(group uint32) string {
+	if int(group) >= len(v.groups) {
+		return ""
+	}
+	for _, member := range v.members {
+		if member.Id == v.groups[group].leader {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// TransferLeadership hands over the leadership of all groups before a planned stop, and returns
+// when this replica leads none or ctx ends.
+func (r *Replica) TransferLeadership(ctx context.Context) {
+	r.stopping.Store(true)
+	for r.post(r.handOverAll) {
+		v := r.view.Load()
+		led := false
+		for g := range v.groups {
+			led = led || v.leads(uint32(g))
+		}
+		if !led || len(v.members) < 2 {
+			return
+		}
+		if !sleep(ctx, tickInterval) {
+			return
+		}
+	}
+}
+
+// handOverAll starts the transfer of every group that this replica leads.
+func (r *Replica) handOverAll(now time.Time) {
+	for _, g := range r.engine.groups {
+		var best uint64
+		var match uint64
+		for _, p := range g.core.Peers() {
+			if p.Replica.Id != r.log.Identity().Replica && !p.Replica.Learner && p.CaughtUp && p.Match >= match {
+				best, match = p.Replica.Id, p.Match
+			}
+		}
+		if best != 0 {
+			g.core.Transfer(now, best)
+		}
+	}
+}
+
+// sleep waits for d; false means that ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
@@ -23,26 +22,7 @@
 	Status(ctx context.Context) (*apiv1.ControlStatus, error)
 }
 
-// RunTable is the state machine of one shard of run records.
-type RunTable interface {
-	Apply(index uint64, data []byte) []byte
-	Snapshot() ([]byte, error)
-	Restore(data []byte) error
-}
-
-// RateOwner serves the rate shards that this replica owns.
-type RateOwner interface {
-	Lease(ctx context.Context, r *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error)
-}
-
-// Registry relays target records between nodes and replicas.
-type Registry interface {
-	// Announced takes a node's announcement, and reports whether the whole set is wanted.
-	Announced(now time.Time, r *apiv1.SyncRequest) (wantAnnounced bool)
-	Merge(now time.Time, m *apiv1.RelayMessage)
-	Updates(r *apiv1.SyncRequest) []*apiv1.ServiceUpdate
-	Outgoing(now time.Time) *apiv1.RelayMessage
-	Expire(now time.Time)
-	// Changed returns a channel that is closed at the next change.
-	Changed() <-chan struct{}
-}
+var (
+	_ Service = (*Replica)(nil)
+	_ Service = (*Client)(nil)
+)
--- /dev/null
+++ b/internal/control/sync.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// Bounds of a node's heartbeat.
+const (
+	maxSyncWait = 5 * time.Second
+	// vouchTimeout bounds the wait for a quorum.
+	vouchTimeout = 800 * time.Millisecond
+)
+
+// Sync takes over what a node announces, vouches for the revision, and answers with what
+// the node lacks. Without news it holds the answer back for up to the time that the node allows.
+// The vouched revision is older than the answer by that wait; the node counts its age from
+// when it asked.
+func (r *Replica) Sync(ctx context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
+	wait := min(time.Duration(request.WaitNs), maxSyncWait)
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	response := &apiv1.SyncResponse{
+		WantAnnounced: r.relay.Announced(r.o.Clock.Now(), request),
+	}
+	vouchCtx, cancel := context.WithTimeout(ctx, vouchTimeout)
+	confirmation := r.confirmer.wait(vouchCtx)
+	cancel()
+	if confirmation == nil {
+		response.Error = "no quorum confirms the revision"
+		r.fill(request, response)
+		return response, ctx.Err()
+	}
+	response.Vouched = true
+	response.VouchedRevision = confirmation.head.Revision
+	for {
+		_, storeChanged := r.store.Head().Watch()
+		relayChanged := r.relay.Changed()
+		if r.fill(request, response) || response.WantAnnounced {
+			return response, nil
+		}
+		select {
+		case <-storeChanged:
+		case <-relayChanged:
+		case <-deadline.C:
+			return response, nil
+		case <-r.stopped:
+			return response, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// fill sets the news of the answer, and reports whether there is any.
+func (r *Replica) fill(request *apiv1.SyncRequest, response *apiv1.SyncResponse) bool {
+	news := r.store.Since(request.Revision)
+	response.Snapshot = news.Snapshot
+	response.Deltas = news.Deltas
+	r.relay.Fill(request, response)
+	response.Placement = r.placement()
+	return news.Snapshot != nil || len(news.Deltas) > 0 || len(response.Services) > 0
+}
+
+// placement tells nodes where control duties are.
+func (r *Replica) placement() *apiv1.Placement {
+	head := r.store.Head().Load()
+	return &apiv1.Placement{
+		Revision:   head.Revision,
+		Replicas:   r.view.Load().members,
+		RateOwners: head.Owners,
+		RateShards: head.RateShards,
+		RunShards:  head.RunShards,
+	}
+}
--- /dev/null
+++ b/internal/replica/log.go
@@ -0,0 +1,152 @@
+package replica
+
+import (
+	"fmt"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// raftLog is the log in memory: the entries behind offset.
+type raftLog struct {
+	offset     uint64 // index before the first entry
+	offsetTerm uint64
+	entries    []*apiv1.LogEntry
+	stable     uint64 // last index that is durable here
+	commit     uint64
+	applied    uint64
+}
+
+func newRaftLog(state State) raftLog {
+	l := raftLog{}
+	if s := state.Snapshot; s != nil {
+		l.reset(s.Index, s.Term)
+	}
+	l.entries = append(l.entries, state.Entries...)
+	l.stable = l.last()
+	return l
+}
+
+// reset empties the log behind a snapshot.
+func (l *raftLog) reset(index, term uint64) {
+	*l = raftLog{offset: index, offsetTerm: term, stable: index, commit: index, applied: index}
+}
+
+func (l *raftLog) last() uint64 {
+	return l.offset + uint64(len(l.entries))
+}
+
+func (l *raftLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term returns the term of an index; ok is false outside the log.
+func (l *raftLog) term(index uint64) (term uint64, ok bool) {
+	if index == l.offset {
+		return l.offsetTerm, true
+	}
+	if index < l.offset || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.offset-1].Term, true
+}
+
+// upToDate reports whether a log that ends at (index, term) holds at least what this one does.
+func (l *raftLog) upToDate(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.last()
+}
+
+// append adds entries at the end.
+func (l *raftLog) append(entries ...*apiv1.LogEntry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from index on.
+func (l *raftLog) truncate(index uint64) {
+	if index <= l.commit {
+		panic(fmt.Sprintf("replica: entry %d is committed up to %d and can't be replaced", index, l.commit))
+	}
+	// A fresh slice: earlier batches may still refer to the dropped entries.
+	l.entries = append([]*apiv1.LogEntry(nil), l.entries[:index-l.offset-1]...)
+	l.stable = min(l.stable, index-1)
+}
+
+// from returns the entries from index on.
+func (l *raftLog) from(index uint64) []*apiv1.LogEntry {
+	if index <= l.offset || index > l.last() {
+		return nil
+	}
+	return l.entries[index-l.offset-1:]
+}
+
+// batch returns entries from index on, of at most size bytes but at least one.
+func (l *raftLog) batch(index uint64, size int) []*apiv1.LogEntry {
+	entries := l.from(index)
+	total := 0
+	for i, entry := range entries {
+		total += len(entry.Data)
+		if total > size && i > 0 {
+			return entries[:i:i]
+		}
+	}
+	return entries[:len(entries):len(entries)]
+}
+
+func (l *raftLog) hasUnstable() bool {
+	return l.stable < l.last()
+}
+
+func (l *raftLog) unstable() []*apiv1.LogEntry {
+	entries := l.from(l.stable + 1)
+	return entries[:len(entries):len(entries)]
+}
+
+func (l *raftLog) stableTo(index uint64) {
+	l.stable = max(l.stable, min(index, l.last()))
+}
+
+func (l *raftLog) hasToApply() bool {
+	return l.applied < l.commit
+}
+
+func (l *raftLog) toApply(limit int) []*apiv1.LogEntry {
+	if !l.hasToApply() {
+		return nil
+	}
+	entries := l.from(l.applied + 1)
+	n := min(int(l.commit-l.applied), limit)
+	return entries[:n:n]
+}
+
+// compact drops the entries up to index.
+func (l *raftLog) compact(index uint64) {
+	if index <= l.offset {
+		return
+	}
+	term, _ := l.term(index)
+	l.entries = append([]*apiv1.LogEntry(nil), l.from(index+1)...)
+	l.offset = index
+	l.offsetTerm = term
+}
+
+// conflictHint returns the highest index at or below index at which a leader's log may agree
+// with this one: it skips the whole term of a conflicting entry.
+func (l *raftLog) conflictHint(index uint64) uint64 {
+	if index > l.last() {
+		return l.last()
+	}
+	bad, ok := l.term(index)
+	if !ok {
+		return l.commit
+	}
+	for index > l.commit {
+		if term, ok := l.term(index); !ok || term != bad {
+			break
+		}
+		index--
+	}
+	return index
+}
