--- /dev/null
+++ b/internal/callctx/handles.go
@@ -0,0 +1,73 @@
+package callctx
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"sync"
+)
+
+// handleBytes is the length of a handle before encoding, in bytes.
+const handleBytes = 18
+
+// Handle names a running call to the target that runs it. It is random, works only at
+// the node that issued it, and only while the call runs.
+type Handle string
+
+// Handles maps handles to running calls.
+type Handles struct {
+	shards [handleShards]handleShard
+}
+
+// handleShards spreads handles over locks by their first byte.
+const handleShards = 64
+
+type handleShard struct {
+	mu      sync.RWMutex
+	running map[Handle]*Running
+}
+
+// NewHandles returns an empty set.
+func NewHandles() *Handles {
+	h := &Handles{}
+	for i := range h.shards {
+		h.shards[i].running = make(map[Handle]*Running)
+	}
+	return h
+}
+
+// Add registers a running call and returns its handle.
+func (h *Handles) Add(r *Running) Handle {
+	var raw [handleBytes]byte
+	// crypto/rand.Read never fails; it ends the process when the system has no randomness.
+	_, _ = rand.Read(raw[:])
+	handle := Handle(base64.RawURLEncoding.EncodeToString(raw[:]))
+	shard := h.shard(handle)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.running[handle] = r
+	return handle
+}
+
+// Find returns the running call of a handle.
+func (h *Handles) Find(handle Handle) (*Running, bool) {
+	if handle == "" {
+		return nil, false
+	}
+	shard := h.shard(handle)
+	shard.mu.RLock()
+	defer shard.mu.RUnlock()
+	r, ok := shard.running[handle]
+	return r, ok
+}
+
+// Remove forgets a handle.
+func (h *Handles) Remove(handle Handle) {
+	shard := h.shard(handle)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	delete(shard.running, handle)
+}
+
+func (h *Handles) shard(handle Handle) *handleShard {
+	return &h.shards[handle[0]%handleShards]
+}
--- /dev/null
+++ b/internal/cli/describe.go
@@ -0,0 +1,151 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/guavaford/guavaford/internal/config"
+	"github.com/guavaford/guavaford/internal/operator"
+)
+
+// description is a document with what its selectors and labels lead to.
+type description struct {
+	Document operator.Document `json:"document"`
+	// Applies lists the documents and targets that this one applies to, or that apply to it.
+	Applies []string `json:"applies"`
+	// Keys lists the keys of an organisation.
+	Keys []operator.Key `json:"keys,omitempty"`
+}
+
+// describeCommand shows documents and what they apply to.
+func describeCommand() *cli.Command {
+	return &cli.Command{
+		Name:          "describe",
+		Usage:         "show documents and what their labels and selectors lead to",
+		ArgsUsage:     "KIND NAME... | KIND/NAME...",
+		Flags:         clientFlags(),
+		ShellComplete: completeKinds,
+		Action: withClient(func(ctx context.Context, c *cli.Command, client *operator.Client) error {
+			configuration, err := currentConfiguration(ctx, c, client)
+			if err != nil {
+				return err
+			}
+			documents, err := chosenDocuments(c, configuration)
+			if err != nil {
+				return err
+			}
+			snapshot, err := compile(configuration)
+			if err != nil {
+				return err
+			}
+			targets, err := announcedTargets(ctx, c, client)
+			if err != nil {
+				return err
+			}
+			all := make([]description, 0, len(documents))
+			for _, d := range documents {
+				one, err := describe(snapshot, configuration, targets, d)
+				if err != nil {
+					return err
+				}
+				all = append(all, one)
+			}
+			return render(c, all, func(w io.Writer) error { return writeDescriptions(w, all) })
+		}),
+	}
+}
+
+// announcedTargets returns the targets that control knows, or none with a warning.
+func announcedTargets(ctx context.Context, c *cli.Command, client *operator.Client) ([]operator.TargetStatus, error) {
+	status, err := client.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if status.Control == nil {
+		_, _ = fmt.Fprintf(c.Root().ErrWriter, "warning: announced targets are not known: %s\n", status.ControlError)
+		return nil, nil
+	}
+	return status.Control.Targets, nil
+}
+
+// describe resolves the labels and selectors of a document.
+func describe(s *config.Snapshot, configuration *operator.Configuration, targets []operator.TargetStatus, d operator.Document) (description, error) {
+	spec, err := config.DecodeSpec(d.Resource())
+	if err != nil {
+		return description{}, err
+	}
+	described := description{Document: d, Applies: []string{}}
+	add := func(kind, name string) { described.Applies = append(described.Applies, kind+"/"+name) }
+	switch spec := spec.(type) {
+	case *config.OrganisationSpec:
+		for _, rate := range ratesOf(configuration, d) {
+			add(config.KindRate, rate)
+		}
+		for _, k := range configuration.Keys {
+			if k.Organisation == d.Name {
+				described.Keys = append(described.Keys, k)
+			}
+		}
+	case *config.RateSpec:
+		for _, o := range selectDocuments(configuration, config.KindOrganisation, spec.Selector.Labels()) {
+			add(o.Kind, o.Name)
+		}
+	case *config.ClassSpec:
+		for _, r := range selectDocuments(configuration, config.KindRoute, spec.Selector.Labels()) {
+			add(r.Kind, r.Name)
+		}
+	case *config.RouteSpec:
+		r := routeNamed(s, d.Name)
+		add(config.KindClass, r.Class.Name)
+		for _, t := range targets {
+			policy := s.TargetPolicy(t.Service, t.Name, t.Labels, int(t.Slots))
+			if t.Service == r.Service && r.Selector.Matches(policy.Labels) && !policy.Draining {
+				add("announced target", t.Node+"/"+t.Name)
+			}
+		}
+	case *config.TargetSpec:
+		for _, t := range targets {
+			if spec.Chooses(t.Service, t.Name, t.Labels) {
+				add("announced target", t.Node+"/"+t.Name)
+			}
+		}
+	}
+	return described, nil
+}
+
+// ratesOf returns the names of the Rate documents that select an organisation.
+func ratesOf(configuration *operator.Configuration, organisation operator.Document) []string {
+	var names []string
+	for _, d := range selectDocuments(configuration, config.KindRate, labels.Everything()) {
+		spec, err := config.DecodeSpec(d.Resource())
+		rate, isRate := spec.(*config.RateSpec)
+		if err == nil && isRate && rate.Selector.Matches(organisation.Labels) {
+			names = append(names, d.Name)
+		}
+	}
+	return names
+}
+
+// writeDescriptions writes each document as YAML and below it what it applies to.
+func writeDescriptions(w io.Writer, all []description) error {
+	for _, one := range all {
+		if err := writeDocuments(w, []operator.Document{one.Document}); err != nil {
+			return err
+		}
+		for _, name := range one.Applies {
+			if _, err := fmt.Fprintf(w, "# applies with %s\n", name); err != nil {
+				return err
+			}
+		}
+		if len(one.Keys) > 0 {
+			if err := keyTable(one.Keys).write(w); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/files.go
@@ -0,0 +1,199 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/config"
+	"github.com/guavaford/guavaford/internal/operator"
+)
+
+// checkCommand validates files without a server.
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "validate files as one whole configuration, without a server",
+		Flags: []cli.Flag{fileFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			source, err := readSources(c)
+			if err != nil {
+				return err
+			}
+			if problems := source.Locate(config.Check(source.Resources)); len(problems) > 0 {
+				return problemsError(problems)
+			}
+			_, err = fmt.Fprintf(c.Root().Writer, "%d documents, no problem\n", len(source.Resources))
+			return err
+		},
+	}
+}
+
+// applyCommand makes the documents of files part of the configuration.
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "apply",
+		Usage: "add and replace the documents of files in one all-or-nothing change",
+		Flags: changeFlags(fileFlag()),
+		Action: withClient(func(ctx context.Context, c *cli.Command, client *operator.Client) error {
+			source, err := readSources(c)
+			if err != nil {
+				return err
+			}
+			if err := checkResend(c); err != nil {
+				return err
+			}
+			return apply(ctx, c, client, source)
+		}),
+	}
+}
+
+// apply checks the documents together with the current ones, so that faults carry file and
+// line, and submits those that differ. A resend must equal the first try: it is
+// sent whole, without a look at the current documents.
+func apply(ctx context.Context, c *cli.Command, client *operator.Client, source *config.Source) error {
+	change := &operator.Change{}
+	for _, r := range source.Resources {
+		change.Upserts = append(change.Upserts, operator.FromResource(r))
+	}
+	var current *uint64
+	if !c.IsSet(flagChangeID) {
+		configuration, err := client.Configuration(ctx)
+		if err != nil {
+			return err
+		}
+		merged, changed := merge(configuration, source.Resources)
+		if problems := source.Locate(config.Check(merged)); len(problems) > 0 {
+			return problemsError(problems)
+		}
+		if changed == 0 {
+			_, err := fmt.Fprintf(c.Root().ErrWriter, "nothing to change at revision %d\n", configuration.Revision)
+			return err
+		}
+		current = &configuration.Revision
+	}
+	if err := prepare(c, change, current); err != nil {
+		return err
+	}
+	_, err := submit(ctx, c, client, change)
+	return err
+}
+
+// merge returns the current documents with those of the files put in, and the number that differ.
+func merge(configuration *operator.Configuration, upserts []*apiv1.Resource) (merged []*apiv1.Resource, changed int) {
+	current := map[operator.Ref]*apiv1.Resource{}
+	for _, d := range configuration.Documents {
+		current[operator.Ref{Kind: d.Kind, Name: d.Name}] = d.Resource()
+	}
+	for _, r := range upserts {
+		ref := operator.Ref{Kind: r.GetKind(), Name: r.GetName()}
+		if old := current[ref]; old == nil || !proto.Equal(old, r) {
+			changed++
+		}
+		current[ref] = r
+	}
+	for _, r := range current {
+		merged = append(merged, r)
+	}
+	return merged, changed
+}
+
+// problemsError lists the problems, each on its own line.
+func problemsError(problems config.Problems) error {
+	return invalidError("the configuration is not valid (%d problems):\n%s", len(problems), strings.Join(problems.Strings(), "\n"))
+}
+
+// readSources reads all files that the flags name.
+func readSources(c *cli.Command) (*config.Source, error) {
+	if len(c.StringSlice(flagFile)) == 0 {
+		return nil, usageError("--%s is required", flagFile)
+	}
+	if c.Args().Present() {
+		return nil, usageError("%q: name files by --%s", c.Args().First(), flagFile)
+	}
+	all := &config.Source{}
+	var problems config.Problems
+	for _, path := range c.StringSlice(flagFile) {
+		files, err := filesOf(path)
+		if err != nil {
+			return nil, err
+		}
+		for _, file := range files {
+			data, err := readFile(c.Root().Reader, file)
+			if err != nil {
+				return nil, err
+			}
+			source, faults := config.ParseSource(file, data)
+			problems = append(problems, faults...)
+			problems = append(problems, all.Add(source)...)
+		}
+	}
+	if len(problems) > 0 {
+		return nil, problemsError(problems)
+	}
+	if len(all.Resources) == 0 {
+		return nil, invalidError("no documents in %s", strings.Join(c.StringSlice(flagFile), ", "))
+	}
+	return all, nil
+}
+
+// standardInput is the file name of standard input.
+const standardInput = "-"
+
+// filesOf returns the .yaml files of a folder in order of their names, or the file itself.
+func filesOf(path string) ([]string, error) {
+	if path == standardInput {
+		return []string{path}, nil
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, usageError("--%s: %v", flagFile, err)
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	var files []string
+	err = filepath.WalkDir(path, func(file string, entry fs.DirEntry, err error) error {
+		extension := filepath.Ext(file)
+		if err == nil && !entry.IsDir() && (extension == ".yaml" || extension == ".yml") {
+			files = append(files, file)
+		}
+		return err
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "list %s", path)
+	}
+	if len(files) == 0 {
+		return nil, usageError("--%s: no .yaml files in %s", flagFile, path)
+	}
+	return files, nil
+}
+
+// readFile reads a file or standard input up to the limit of a change.
+func readFile(in io.Reader, path string) ([]byte, error) {
+	if path != standardInput {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, usageError("--%s: %v", flagFile, err)
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	data, err := io.ReadAll(io.LimitReader(in, operator.MaxBodyBytes+1))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %s", path)
+	}
+	if len(data) > operator.MaxBodyBytes {
+		return nil, invalidError("%s is longer than %d bytes", path, operator.MaxBodyBytes)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,134 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/guavaford/guavaford/internal/operator"
+)
+
+// statusCommand shows the state of the fleet.
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show replicas, the revision in force on each node, targets, limits and leases",
+		Flags: clientFlags(),
+		Action: withClient(func(ctx context.Context, c *cli.Command, client *operator.Client) error {
+			status, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return render(c, status, func(w io.Writer) error { return writeStatus(w, status) })
+		}),
+	}
+}
+
+// writeStatus writes the sections of a status.
+func writeStatus(w io.Writer, s *operator.Status) error {
+	var tables []*table
+	if s.Control == nil {
+		if _, err := fmt.Fprintf(w, "control: not reached: %s\n", s.ControlError); err != nil {
+			return err
+		}
+	} else {
+		confirmed := "confirmed by a quorum"
+		if !s.Control.Confirmed {
+			confirmed = "NOT confirmed by a quorum"
+		}
+		if _, err := fmt.Fprintf(w, "control: revision %d, %s, answered by %s\n", s.Control.Revision, confirmed, s.Control.AnsweredBy); err != nil {
+			return err
+		}
+		tables = append(tables, replicaTable(s.Control.Replicas), ownerTable(s.Control.RateOwners),
+			nodeTable(s.Control), targetTable(s.Control.Targets))
+	}
+	tables = append(tables, localTables(s.Node)...)
+	for _, t := range tables {
+		if len(t.rows) == 0 {
+			continue
+		}
+		if _, err := fmt.Fprintln(w); err != nil {
+			return err
+		}
+		if err := t.write(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func replicaTable(replicas []operator.Replica) *table {
+	t := &table{header: []string{"GROUP", "REPLICA", "NODE", "DATA CENTRE", "ROLE", "TERM", "SYNCED", "COMMITTED", "HEARD"}}
+	for _, r := range replicas {
+		t.add(unsigned(r.Group), strconv.FormatUint(r.ID, 10), orDash(r.Node), orDash(r.DataCentre), r.Role, strconv.FormatUint(r.Term, 10),
+			strconv.FormatUint(r.MatchIndex, 10), strconv.FormatUint(r.CommitIndex, 10), age(r.HeardAgeMS))
+	}
+	return t
+}
+
+func ownerTable(owners []operator.RateOwner) *table {
+	t := &table{header: []string{"RATE SHARD", "OWNER", "ADDRESS", "EPOCH"}}
+	for _, o := range owners {
+		t.add(unsigned(o.Shard), strconv.FormatUint(o.Replica, 10), orDash(o.Address), strconv.FormatUint(o.Epoch, 10))
+	}
+	return t
+}
+
+func nodeTable(control *operator.ControlStatus) *table {
+	t := &table{header: []string{"NODE", "ADDRESS", "DATA CENTRE", "REVISION", "BEHIND", "HEARD", "STATE"}}
+	for _, n := range control.Nodes {
+		state := "running"
+		if n.Leaving {
+			state = "leaving"
+		}
+		behind := "-"
+		if n.Revision < control.Revision {
+			behind = strconv.FormatUint(control.Revision-n.Revision, 10)
+		}
+		t.add(n.Name, n.Address, n.DataCentre, strconv.FormatUint(n.Revision, 10), behind, age(n.HeardAgeMS), state)
+	}
+	return t
+}
+
+func targetTable(targets []operator.TargetStatus) *table {
+	t := &table{header: []string{"SERVICE", "TARGET", "NODE", "DATA CENTRE", "STATE", "SLOTS", "LABELS"}}
+	for _, one := range targets {
+		t.add(one.Service, one.Name, one.Node, one.DataCentre, one.State, unsigned(one.Slots), labelText(one.Labels))
+	}
+	return t
+}
+
+// localTables returns what only the answering node knows.
+func localTables(n operator.NodeStatus) []*table {
+	node := &table{header: []string{"ANSWERING NODE", "DATA CENTRE", "REVISION", "CONFIRMED", "STATE"}}
+	state := "running"
+	if n.Stopping {
+		state = "stopping"
+	}
+	node.add(n.Name, n.DataCentre, strconv.FormatUint(n.Revision, 10), age(n.ConfirmedAgeMS), state)
+	targets := &table{header: []string{"LOCAL TARGET", "SERVICE", "IN FLIGHT", "QUEUED", "LIMIT", "DRAINING"}}
+	for _, t := range n.Targets {
+		targets.add(t.Name, t.Service, strconv.Itoa(t.InFlight), strconv.Itoa(t.Queued), strconv.Itoa(t.Limit), strconv.FormatBool(t.Draining))
+	}
+	leases := &table{header: []string{"LEASE OF", "TOKENS"}}
+	for _, l := range n.Leases {
+		leases.add(l.Organisation, unsigned(l.Tokens))
+	}
+	return []*table{node, targets, leases}
+}
+
+// age returns a time in milliseconds as "1.2s ago"; -1 is "never".
+func age(milliseconds int64) string {
+	if milliseconds < 0 {
+		return "never"
+	}
+	return (time.Duration(milliseconds) * time.Millisecond).String() + " ago"
+}
+
+func unsigned(n uint32) string {
+	return strconv.FormatUint(uint64(n), 10)
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -226,7 +226,7 @@
 // checkTargets reports policies for services without a route and policies that
 // choose the same targets in the same way.
 func (d *documents) checkTargets() Problems {
-	services := map[string]bool{anyService: true}
+	services := map[string]bool{AnyService: true}
 	for _, r := range d.routes {
 		services[r.spec.Service] = true
 	}
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -130,3 +130,41 @@
 func unknownKind(kind string) string {
 	return fmt.Sprintf("%q is not a kind; allowed: %s", kind, strings.Join(Kinds(), ", "))
 }
+
+// Canonicalise replaces the spec of a document by its normal form and reports the
+// faults of the document, without those between documents.
+func Canonicalise(r *apiv1.Resource) Problems {
+	decoded, problems := decodeResource(r)
+	if len(problems) > 0 {
+		return problems
+	}
+	r.Spec = encodeSpec(decoded)
+	return nil
+}
+
+// encodeSpec returns the normal form of a checked spec.
+func encodeSpec(decoded spec) []byte {
+	canonical, err := json.Marshal(decoded)
+	if err != nil {
+		panic(errors.Wrap(err, "a checked spec must have a JSON form"))
+	}
+	return canonical
+}
+
+// compareResources orders documents by kind and name.
+func compareResources(a, b *apiv1.Resource) int {
+	if a.GetKind() != b.GetKind() {
+		return strings.Compare(a.GetKind(), b.GetKind())
+	}
+	return strings.Compare(a.GetName(), b.GetName())
+}
+
+// DecodeSpec returns the typed spec of a stored document: *OrganisationSpec, *RateSpec,
+// *ClassSpec, *RouteSpec or *TargetSpec.
+func DecodeSpec(r *apiv1.Resource) (any, error) {
+	decoded, problems := decodeResource(r)
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	return decoded, nil
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -251,12 +250,18 @@
 		}
 		report(line, specPath(field), fmt.Sprintf(format, args...))
 	})
-	for field, node := range places {
-		p.source.places[place{resource.GetKind(), resource.GetName(), specPath(field)}] = position{p.file, node.Line}
-	}
+	p.remember(resource, parts.nodes, "")
+	p.remember(resource, places, "spec.")
 	return resource, decoded
 }
 
+// remember keeps where the fields of a document stand, for Locate.
+func (p *parser) remember(r *apiv1.Resource, nodes map[string]*yaml.Node, prefix string) {
+	for field, node := range nodes {
+		p.source.places[place{r.GetKind(), r.GetName(), prefix + field}] = position{p.file, node.Line}
+	}
+}
+
 // accept adds a document without faults to the source.
 func (p *parser) accept(resource *apiv1.Resource, decoded spec, root *yaml.Node) {
 	key := place{kind: resource.GetKind(), name: resource.GetName()}
@@ -266,11 +271,7 @@
 		return
 	}
 	p.source.places[key] = position{p.file, root.Line}
-	canonical, err := json.Marshal(decoded)
-	if err != nil {
-		panic(errors.Wrap(err, "a checked spec must have a JSON form"))
-	}
-	resource.Spec = canonical
+	resource.Spec = encodeSpec(decoded)
 	p.source.Resources = append(p.source.Resources, resource)
 }
 
--- a/internal/config/target.go
+++ b/internal/config/target.go
@@ -7,8 +7,8 @@
 	"k8s.io/apimachinery/pkg/labels"
 )
 
-// anyService in a Target document stands for every service.
-const anyService = "*"
+// AnyService as the service of a Target document stands for every service.
+const AnyService = "*"
 
 // TargetPolicy is what applies to one target.
 type TargetPolicy struct {
@@ -43,12 +43,16 @@
 	return strings.Compare(a.name, b.name)
 }
 
-// matches returns true when the document applies to a target.
-func (d *targetDocument) matches(name string, announced labels.Set) bool {
-	if d.spec.Target != "" {
-		return d.spec.Target == name
+// Chooses returns true when the document applies to a target of a service with
+// these announced labels.
+func (s *TargetSpec) Chooses(service, name string, announced labels.Set) bool {
+	if s.Service != AnyService && s.Service != service {
+		return false
 	}
-	return d.spec.Selector.Matches(announced)
+	if s.Target != "" {
+		return s.Target == name
+	}
+	return s.Selector.Matches(announced)
 }
 
 // TargetPolicy returns what applies to a target. The announced labels must include
@@ -59,9 +63,9 @@
 func (s *Snapshot) TargetPolicy(service, name string, announced labels.Set, announcedSlots int) TargetPolicy {
 	policy := TargetPolicy{Labels: announced, Slots: announcedSlots}
 	slots := 0
-	for _, scope := range []string{anyService, service} {
+	for _, scope := range []string{AnyService, service} {
 		for _, d := range s.targets[scope] {
-			if !d.matches(name, announced) {
+			if !d.spec.Chooses(service, name, announced) {
 				continue
 			}
 			policy.apply(d.spec)
--- a/internal/config/values.go
+++ b/internal/config/values.go
@@ -98,6 +98,11 @@
 	return []byte(s.text), nil
 }
 
+// String returns the selector in its normal form.
+func (s Selector) String() string {
+	return s.text
+}
+
 // Empty returns true when no selector was given.
 func (s Selector) Empty() bool {
 	return s.parsed == nil || s.parsed.Empty()
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,180 @@
+// Package dispatch makes the attempts of one call.
+//
+// A call goes to one of the targets of its service. An attempt that fails may be
+// followed by another under three bounds: the allowance of the whole call tree, the
+// ratio budget of the service at this node, and the deadline. For a non-idempotent call
+// a fourth rule holds: another attempt needs proof that the earlier one was not run.
+// The proof is one of
+//
+//   - the node beside the target refused it as not run,
+//   - nothing of it left this process,
+//   - the node beside the target fenced it: not started, and never will be.
+//
+// Without proof the answer of the earlier attempt is fetched over a new connection;
+// when that can't be had either, the outcome is reported as unknown.
+package dispatch
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/board"
+	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/config"
+	"github.com/guavaford/guavaford/internal/gate"
+	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/policy"
+	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/retry"
+	"github.com/guavaford/guavaford/internal/route"
+	"github.com/guavaford/guavaford/internal/telemetry"
+)
+
+// Sender carries calls to the gates of other nodes.
+type Sender interface {
+	Call(ctx context.Context, address string, h *apiv1.CallHeader, body io.Reader) (*gate.Answer, error)
+	Attach(ctx context.Context, address string, key *apiv1.CallKey) (*gate.Answer, error)
+	Fence(ctx context.Context, address string, r *apiv1.FenceRequest) (*apiv1.FenceResponse, error)
+}
+
+// Directory subscribes to the targets of services.
+type Directory interface {
+	// Want makes the node follow a service. It returns false when it follows too many.
+	Want(service string) bool
+}
+
+// Options are the parts that a Dispatcher works with.
+type Options struct {
+	Identity   peer.Identity
+	DataCentre string
+	Gate       *gate.Gate
+	Sender     Sender
+	Directory  Directory
+	Board      *board.Board
+	Clock      clock.Clock
+	Metrics    *telemetry.Metrics
+	Log        telemetry.Logger
+}
+
+// Dispatcher makes the attempts of the calls that leave one node.
+type Dispatcher struct {
+	o        Options
+	sequence atomic.Uint64
+
+	mu       sync.RWMutex
+	services map[string]*service
+}
+
+// service is what the dispatcher keeps for one service.
+type service struct {
+	picker *route.Picker
+	budget *retry.Budget
+	// known is closed when the registry has answered for the service.
+	known chan struct{}
+	once  sync.Once
+}
+
+// New returns a dispatcher that knows no service yet.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{o: o, services: make(map[string]*service)}
+}
+
+// Run passes changes of the registry and of the configuration on to the pickers until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	for {
+		view, viewChanged := d.o.Board.Registry.Watch()
+		configuration, configurationChanged := d.o.Board.Configuration.Watch()
+		d.update(view, configuration.Snapshot)
+		select {
+		case <-viewChanged:
+		case <-configurationChanged:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// update gives every known service its targets.
+func (d *Dispatcher) update(view *registry.View, snapshot *config.Snapshot) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for name, s := range d.services {
+		s.apply(view, snapshot, name)
+	}
+}
+
+// apply gives a service its targets, if the registry has answered for it.
+func (s *service) apply(view *registry.View, snapshot *config.Snapshot, name string) {
+	announced, ok := view.Services[name]
+	if !ok {
+		return
+	}
+	targets := make([]*registry.Target, 0, len(announced))
+	for _, t := range announced {
+		targets = append(targets, policy.Effective(snapshot, t))
+	}
+	s.picker.Update(targets)
+	s.once.Do(func() { close(s.known) })
+}
+
+// service returns the state of a service, subscribing to it on first use.
+func (d *Dispatcher) service(name string) *service {
+	d.mu.RLock()
+	s, ok := d.services[name]
+	d.mu.RUnlock()
+	if ok {
+		return s
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s, ok = d.services[name]; ok {
+		return s
+	}
+	s = &service{
+		picker: route.NewPicker(route.DefaultConfig(), d.o.DataCentre, d.o.Clock, rand.Uint64()),
+		budget: retry.NewBudget(retry.DefaultBudgetRatio, retry.DefaultBudgetBurst),
+		known:  make(chan struct{}),
+	}
+	d.services[name] = s
+	s.apply(d.o.Board.Registry.Load(), d.o.Board.Configuration.Load().Snapshot, name)
+	d.o.Directory.Want(name)
+	return s
+}
+
+// firstAnswerTimeout bounds the wait for the registry's first answer about a service.
+const firstAnswerTimeout = 2 * time.Second
+
+// awaitKnown waits until the registry has answered for the service.
+func (d *Dispatcher) awaitKnown(ctx context.Context, s *service) *outcome.Refusal {
+	select {
+	case <-s.known:
+		return nil
+	default:
+	}
+	timer := time.NewTimer(firstAnswerTimeout)
+	defer timer.Stop()
+	select {
+	case <-s.known:
+		return nil
+	case <-timer.C:
+		return outcome.NotRun(outcome.NoTarget, time.Second, "the registry has not answered for the service yet")
+	case <-ctx.Done():
+		return outcome.NotRun(outcome.DeadlineExceeded, 0, "the registry has not answered for the service yet")
+	}
+}
+
+// Do makes the attempts of a call and returns its final answer.
+func (d *Dispatcher) Do(ctx context.Context, r *Request) *Result {
+	s := d.service(r.Service)
+	if refusal := d.awaitKnown(ctx, s); refusal != nil {
+		return refused(refusal, 0)
+	}
+	c := &call{dispatcher: d, service: s, request: r}
+	return c.run(ctx)
+}
--- /dev/null
+++ b/internal/follow/state.go
@@ -0,0 +1,200 @@
+package follow
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/board"
+	"github.com/guavaford/guavaford/internal/config"
+	"github.com/guavaford/guavaford/internal/keys"
+)
+
+// keptFile is the name of the file that keeps the configuration over a restart.
+const keptFile = "followed-configuration.pb"
+
+// resourceKey identifies a resource.
+type resourceKey struct {
+	kind string
+	name string
+}
+
+// state is the configuration as this node holds it.
+type state struct {
+	revision  uint64
+	resources map[resourceKey]*apiv1.Resource
+	keys      *keys.Table
+	// records keeps what the key table was built from, for the kept file.
+	records map[uint64]*apiv1.KeyRecord
+}
+
+// newState returns the state before the first answer.
+func newState() *state {
+	return &state{
+		resources: make(map[resourceKey]*apiv1.Resource),
+		keys:      keys.NewTable(nil),
+		records:   make(map[uint64]*apiv1.KeyRecord),
+	}
+}
+
+// errGap says that deltas don't follow on the revision held.
+var errGap = errors.New("deltas do not follow on the revision held")
+
+// applyConfiguration takes the configuration part of an answer over. What is not newer
+// than the revision in force is ignored.
+func (l *Loop) applyConfiguration(resp *apiv1.SyncResponse) error {
+	next := l.state
+	if s := resp.GetSnapshot(); s.GetRevision() > next.revision {
+		next = stateOf(s)
+	}
+	for _, d := range resp.GetDeltas() {
+		if d.GetRevision() <= next.revision {
+			continue
+		}
+		if d.GetRevision() != next.revision+1 {
+			return errors.Wrapf(errGap, "revision %d after %d", d.GetRevision(), next.revision)
+		}
+		next = next.with(d)
+	}
+	if next == l.state {
+		return nil
+	}
+	return l.publish(next)
+}
+
+// publish compiles a newer configuration and puts it in force.
+func (l *Loop) publish(next *state) error {
+	snapshot, err := config.Compile(next.revision, next.list())
+	if err != nil {
+		return errors.Wrapf(err, "revision %d", next.revision)
+	}
+	l.state = next
+	l.o.Board.Configuration.Publish(&board.Configuration{
+		Revision: next.revision,
+		Snapshot: snapshot,
+		Keys:     next.keys,
+	})
+	l.o.Log.Info("configuration in force", "revision", next.revision)
+	return l.keep()
+}
+
+// stateOf returns the state that a snapshot describes.
+func stateOf(s *apiv1.ConfigSnapshot) *state {
+	n := newState()
+	n.revision = s.GetRevision()
+	for _, r := range s.GetResources() {
+		n.resources[resourceKey{r.GetKind(), r.GetName()}] = r
+	}
+	for _, k := range s.GetKeys() {
+		n.records[k.GetNumber()] = k
+	}
+	n.keys = keys.NewTable(s.GetKeys())
+	return n
+}
+
+// with returns the state after one accepted change.
+func (s *state) with(d *apiv1.ConfigDelta) *state {
+	n := &state{
+		revision:  d.GetRevision(),
+		resources: maps.Clone(s.resources),
+		records:   s.records,
+		keys:      s.keys.With(d.GetIssued(), d.GetWithdrawn()),
+	}
+	for _, r := range d.GetUpserts() {
+		n.resources[resourceKey{r.GetKind(), r.GetName()}] = r
+	}
+	for _, r := range d.GetDeletes() {
+		delete(n.resources, resourceKey{r.GetKind(), r.GetName()})
+	}
+	n.recordKeys(d)
+	return n
+}
+
+// recordKeys notes issued and withdrawn keys. Records are shared with the older state,
+// which is not used any more once the newer one is in force.
+func (s *state) recordKeys(d *apiv1.ConfigDelta) {
+	for _, k := range d.GetIssued() {
+		s.records[k.GetNumber()] = k
+	}
+	for _, number := range d.GetWithdrawn() {
+		if k, ok := s.records[number]; ok {
+			withdrawn := proto.Clone(k).(*apiv1.KeyRecord)
+			withdrawn.Withdrawn = true
+			s.records[number] = withdrawn
+		}
+	}
+}
+
+// list returns the resources in a fixed order.
+func (s *state) list() []*apiv1.Resource {
+	all := slices.Collect(maps.Values(s.resources))
+	slices.SortFunc(all, func(a, b *apiv1.Resource) int {
+		if a.GetKind() != b.GetKind() {
+			return compare(a.GetKind(), b.GetKind())
+		}
+		return compare(a.GetName(), b.GetName())
+	})
+	return all
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// snapshot returns the state as it is kept on disk.
+func (s *state) snapshot() *apiv1.ConfigSnapshot {
+	return &apiv1.ConfigSnapshot{
+		Revision:  s.revision,
+		Resources: s.list(),
+		Keys:      slices.Collect(maps.Values(s.records)),
+	}
+}
+
+// keep writes the configuration to the folder, replacing the file in one step.
+func (l *Loop) keep() error {
+	if l.o.Folder == "" {
+		return nil
+	}
+	data, err := proto.Marshal(l.state.snapshot())
+	if err != nil {
+		return errors.Wrap(err, "keep configuration")
+	}
+	path := filepath.Join(l.o.Folder, keptFile)
+	temporary := path + ".new"
+	if err := os.WriteFile(temporary, data, 0o600); err != nil {
+		return errors.Wrap(err, "keep configuration")
+	}
+	return errors.Wrap(os.Rename(temporary, path), "keep configuration")
+}
+
+// restore puts the kept configuration in force. A file that can't be read is ignored:
+// the configuration then comes from the control replicas.
+func (l *Loop) restore() error {
+	if l.o.Folder == "" {
+		return nil
+	}
+	data, err := os.ReadFile(filepath.Join(l.o.Folder, keptFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "kept configuration")
+	}
+	var kept apiv1.ConfigSnapshot
+	if err := proto.Unmarshal(data, &kept); err != nil {
+		l.o.Log.Warn("kept configuration ignored", "err", err)
+		return nil
+	}
+	if err := l.publish(stateOf(&kept)); err != nil {
+		l.o.Log.Warn("kept configuration ignored", "err", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gate/answer.go
@@ -0,0 +1,34 @@
+package gate
+
+import (
+	"io"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/outcome"
+)
+
+// Answer is the answer of one attempt. Exactly one of a refusal and a body is present.
+type Answer struct {
+	Header *apiv1.AnswerHeader
+	// Body ends with io.EOF only when the answer is whole. It is nil with a refusal.
+	Body io.ReadCloser
+	// AllowanceLeft returns the extra attempts that were lent and not used. It is
+	// known once the body has ended; ok is false before, and when the answer was cut off.
+	AllowanceLeft func() (left int, ok bool)
+}
+
+// Refusal returns the refusal of the answer, or nil when a target answered.
+func (a *Answer) Refusal() *outcome.Refusal {
+	if a.Header.GetRefusal() == nil {
+		return nil
+	}
+	return outcome.FromMessage(a.Header.GetRefusal())
+}
+
+// refuse returns an answer that carries a refusal; all of the lent allowance is left.
+func refuse(h *apiv1.CallHeader, r *outcome.Refusal, load *apiv1.LoadReport) *Answer {
+	return &Answer{
+		Header:        &apiv1.AnswerHeader{Key: h.GetKey(), Refusal: r.Message(), Load: load},
+		AllowanceLeft: func() (int, bool) { return int(h.GetAllowance()), true },
+	}
+}
--- /dev/null
+++ b/internal/gate/request.go
@@ -0,0 +1,88 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/callctx"
+	"github.com/guavaford/guavaford/internal/headers"
+	"github.com/guavaford/guavaford/internal/outcome"
+)
+
+// onceBody hides the nature of a body from http.Transport. The transport resends a
+// request that has no body when the method is safe or an Idempotency-Key is set;
+// with a body of a type that it does not know it never does.
+type onceBody struct {
+	io.Reader
+}
+
+// Close ends the body.
+func (onceBody) Close() error { return nil }
+
+// emptyReader is a body without bytes.
+type emptyReader struct{}
+
+func (emptyReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+// targetRequest builds the HTTP request for a target of this host.
+func targetRequest(ctx context.Context, address string, h *apiv1.CallHeader, handle callctx.Handle, body io.Reader) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, h.GetMethod(), "http://"+address+h.GetPath(), nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "target request")
+	}
+	setBody(req, h, body)
+	headers.Apply(req.Header, h.GetHeaders())
+	req.Header.Set(headers.Handle, string(handle))
+	req.Header.Set(headers.RequestID, h.GetRequestId())
+	req.Header.Set(headers.Organisation, h.GetOrganisation())
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		req.Header.Set(headers.TimeoutMs, strconv.FormatInt(left, 10))
+	}
+	if req.Header.Get("User-Agent") == "" {
+		// An empty value keeps the transport from adding its own.
+		req.Header.Set("User-Agent", "")
+	}
+	return req, nil
+}
+
+// setBody gives the request a body that the transport can't replay by itself.
+func setBody(req *http.Request, h *apiv1.CallHeader, body io.Reader) {
+	req.GetBody = nil
+	empty := h.GetContentLength() == 0
+	if empty && h.GetIdempotent() {
+		req.Body = http.NoBody
+		return
+	}
+	if empty || body == nil {
+		req.Body = onceBody{emptyReader{}}
+		return
+	}
+	req.ContentLength = h.GetContentLength()
+	req.Body = onceBody{body}
+}
+
+// transportRefusal says what is known after the HTTP exchange with a target failed.
+func transportRefusal(ctx context.Context, err error) *outcome.Refusal {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return outcome.NotRun(outcome.TargetFailed, 0, "no connection to the target")
+	}
+	r := &outcome.Refusal{Code: outcome.TargetFailed, Ran: outcome.RanUnknown, Detail: "the exchange with the target failed"}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		r.Code = outcome.DeadlineExceeded
+		r.Detail = "the target did not answer before the deadline"
+	case ctx.Err() != nil:
+		r.Code = outcome.Cancelled
+		r.Detail = "cancelled while the target was working"
+	}
+	return r
+}
--- /dev/null
+++ b/internal/gateway/subcalls.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/guavaford/guavaford/internal/callctx"
+	"github.com/guavaford/guavaford/internal/headers"
+	"github.com/guavaford/guavaford/internal/outcome"
+)
+
+// callPrefix starts the path of a sub-call: /call/SERVICE/PATH.
+const callPrefix = "/call/"
+
+// SubCalls serves the calls that the targets of this host make to other services.
+type SubCalls struct {
+	entry *Entry
+}
+
+// NewSubCalls returns the handler of sub-calls.
+func NewSubCalls(e *Entry) *SubCalls {
+	return &SubCalls{entry: e}
+}
+
+// ServeHTTP takes one sub-call to its answer. The handle in the request says for which
+// running call it is made; the sub-call ends with that call.
+func (s *SubCalls) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o := &s.entry.o
+	o.Metrics.SubCalls.Add(1)
+	running, ok := o.Handles.Find(callctx.Handle(r.Header.Get(headers.Handle)))
+	if !ok {
+		refusal := outcome.NotRun(outcome.HandleUnknown, 0, "send %s as it came with the running request", headers.Handle)
+		s.entry.refuse(w, refusal, "")
+		return
+	}
+	id := running.Origin.RequestID
+	in, refusal := s.admit(w, r, running)
+	if refusal != nil {
+		s.entry.refuse(w, refusal, id)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), in.origin.Deadline)
+	defer cancel()
+	stop := context.AfterFunc(running.Context, cancel)
+	defer stop()
+	running.EnterSubCall(o.Clock.Now())
+	defer func() { running.LeaveSubCall(o.Clock.Now()) }()
+	if !s.entry.write(in, s.entry.serve(ctx, in)) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// admit finds the route of a sub-call and checks the key of the request that it serves.
+func (s *SubCalls) admit(w http.ResponseWriter, r *http.Request, running *callctx.Running) (*inbound, *outcome.Refusal) {
+	o := &s.entry.o
+	if refusal := o.Keyring.Allowed(running.Origin.KeyNumber); refusal != nil {
+		return nil, refusal
+	}
+	service := mux.Vars(r)["service"]
+	path := strings.TrimPrefix(r.URL.Path, callPrefix+service)
+	if path == "" {
+		path = "/"
+	}
+	route, code := o.Board.Configuration.Load().Snapshot.ServiceRoute(service, r.Method, path)
+	if code != "" {
+		return nil, outcome.NotRun(code, 0, "%s %s of service %s", r.Method, path, service)
+	}
+	available, refusal := timeout(r.Header, route)
+	if refusal != nil {
+		return nil, refusal
+	}
+	origin := running.Origin
+	origin.Fold = running.FoldCutoff
+	origin.Deadline = earlier(origin.Deadline, o.Clock.Now().Add(available))
+	forward := strings.TrimPrefix(r.URL.RequestURI(), callPrefix+service)
+	if !strings.HasPrefix(forward, "/") {
+		forward = "/" + forward
+	}
+	return &inbound{writer: w, request: r, route: route, origin: &origin, path: forward}, nil
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/headers/headers.go
@@ -0,0 +1,112 @@
+// Package headers decides which HTTP header fields cross the system.
+//
+// Hop-by-hop fields, credentials and the system's own fields never pass from a caller
+// to a target. The system adds its own fields after that.
+package headers
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// Header fields of the system.
+const (
+	// Prefix starts the name of each field that only the system may set.
+	Prefix = "Guavaford-"
+	// Handle names a running call; a target sends it back on its sub-calls.
+	Handle = "Guavaford-Handle"
+	// TimeoutMs is the remaining time of a request in milliseconds. Callers set it as
+	// their deadline; targets receive what is left.
+	TimeoutMs = "Guavaford-Timeout-Ms"
+	// RequestID identifies the request at the root of the call tree.
+	RequestID = "Guavaford-Request-Id"
+	// Organisation names the organisation that the request runs for.
+	Organisation = "Guavaford-Organisation"
+	// Attempts is the number of dispatches that an answer took.
+	Attempts = "Guavaford-Attempts"
+	// IdempotencyKey makes a non-idempotent request safe to resend.
+	IdempotencyKey = "Idempotency-Key"
+	// Replayed marks an answer that was taken from a run record.
+	Replayed = "Idempotency-Replayed"
+)
+
+// hopByHop lists the fields that are meant for one connection only (RFC 9110, section 7.6.1).
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// removed lists further fields that are set anew on the next connection.
+var removed = map[string]bool{
+	"Authorization":  true,
+	"Content-Length": true,
+	"Host":           true,
+	"Expect":         true,
+}
+
+// Request returns the fields of a request that pass on to a target. Fields whose value
+// contains secret are dropped, so that a key can't slip through in another field.
+func Request(h http.Header, secret string) []*apiv1.HeaderField {
+	return pass(h, func(name, value string) bool {
+		if removed[name] {
+			return false
+		}
+		return secret == "" || !strings.Contains(value, secret)
+	})
+}
+
+// Response returns the fields of a target's answer that pass on to the caller.
+func Response(h http.Header) []*apiv1.HeaderField {
+	return pass(h, func(name, _ string) bool {
+		return name != "Content-Length"
+	})
+}
+
+// pass returns the end-to-end fields that keep accepts.
+func pass(h http.Header, keep func(name, value string) bool) []*apiv1.HeaderField {
+	listed := connectionOptions(h)
+	fields := make([]*apiv1.HeaderField, 0, len(h))
+	for name, values := range h {
+		if hopByHop[name] || listed[name] || strings.HasPrefix(name, Prefix) {
+			continue
+		}
+		for _, value := range values {
+			if keep(name, value) {
+				fields = append(fields, &apiv1.HeaderField{Name: name, Value: value})
+			}
+		}
+	}
+	return fields
+}
+
+// connectionOptions returns the fields that the Connection field names as hop-by-hop.
+func connectionOptions(h http.Header) map[string]bool {
+	values := h["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	listed := make(map[string]bool)
+	for _, value := range values {
+		for _, option := range strings.Split(value, ",") {
+			listed[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(option))] = true
+		}
+	}
+	return listed
+}
+
+// Apply adds the fields to h.
+func Apply(h http.Header, fields []*apiv1.HeaderField) {
+	for _, f := range fields {
+		h[f.GetName()] = append(h[f.GetName()], f.GetValue())
+	}
+}
--- /dev/null
+++ b/internal/lab/deployment.go
@@ -0,0 +1,137 @@
+package lab
+
+import "time"
+
+// Service is a group of equal targets.
+type Service struct {
+	Name    string
+	Targets int
+	// Slots is the number of requests that one target runs at a time.
+	Slots int
+	// ServiceTime is the mean time of a request without its sub-calls.
+	ServiceTime time.Duration
+}
+
+// Chain is a route and the services that its requests call, outermost first.
+type Chain struct {
+	Route    string
+	Services []string
+	// Bottleneck is the service that limits the chain.
+	Bottleneck string
+	Priority   int
+	// Rate is the number of requests a second at load 1.
+	Rate float64
+}
+
+// Tenant is one organisation and its share of all requests.
+type Tenant struct {
+	Name  string
+	Share float64
+}
+
+// Deployment is a site to measure.
+type Deployment struct {
+	Name        string
+	DataCentres []string
+	// CrossDelay is the one-way delay between data centres.
+	CrossDelay time.Duration
+	Services   []Service
+	Chains     []Chain
+	Tenants    []Tenant
+	// Timeout is how long a caller waits for an answer.
+	Timeout time.Duration
+	// Deep is the service that slows down in scenario c.
+	Deep string
+}
+
+// One-way delays that both deployments share.
+const (
+	localDelay  = 100 * time.Microsecond
+	clientDelay = time.Millisecond
+)
+
+// Koperasi returns the co-operative's site. Load 1 uses the 120 slots of premis in full.
+func Koperasi() *Deployment {
+	return &Deployment{
+		Name:        "koperasi",
+		DataCentres: []string{"kl", "shah-alam", "putrajaya"},
+		CrossDelay:  500 * time.Microsecond,
+		Services: []Service{
+			{Name: "tempahan", Targets: 3, Slots: 300, ServiceTime: 100 * time.Millisecond},
+			{Name: "transkrip", Targets: 3, Slots: 300, ServiceTime: 200 * time.Millisecond},
+			{Name: "jadual", Targets: 4, Slots: 230, ServiceTime: 50 * time.Millisecond},
+			{Name: "premis", Targets: 3, Slots: 40, ServiceTime: 100 * time.Millisecond},
+		},
+		Chains: []Chain{
+			{Route: "book-urgent", Services: []string{"tempahan", "jadual", "premis"}, Bottleneck: "premis", Priority: 0, Rate: 60},
+			{Route: "book", Services: []string{"tempahan", "jadual", "premis"}, Bottleneck: "premis", Priority: 1, Rate: 740},
+			{Route: "book-batch", Services: []string{"tempahan", "jadual", "premis"}, Bottleneck: "premis", Priority: 2, Rate: 400},
+			{Route: "transcript", Services: []string{"transkrip", "jadual"}, Bottleneck: "transkrip", Priority: 2, Rate: 600},
+		},
+		Tenants: tenants(),
+		Timeout: time.Second,
+		Deep:    "premis",
+	}
+}
+
+// Verband returns the archive's site. Load 1 uses the 45 slots of ansicht in full.
+func Verband() *Deployment {
+	return &Deployment{
+		Name:        "verband",
+		DataCentres: []string{"wien-a", "wien-b", "stpoelten"},
+		CrossDelay:  1500 * time.Microsecond,
+		Services: []Service{
+			{Name: "suche", Targets: 3, Slots: 75, ServiceTime: 40 * time.Millisecond},
+			{Name: "sperre", Targets: 3, Slots: 75, ServiceTime: 50 * time.Millisecond},
+			{Name: "ausfuhr", Targets: 3, Slots: 75, ServiceTime: 100 * time.Millisecond},
+			{Name: "ansicht", Targets: 3, Slots: 15, ServiceTime: 60 * time.Millisecond},
+		},
+		Chains: []Chain{
+			{Route: "hold", Services: []string{"sperre", "suche", "ansicht"}, Bottleneck: "ansicht", Priority: 0, Rate: 40},
+			{Route: "search", Services: []string{"suche", "ansicht"}, Bottleneck: "ansicht", Priority: 1, Rate: 510},
+			{Route: "export", Services: []string{"ausfuhr", "ansicht"}, Bottleneck: "ansicht", Priority: 2, Rate: 200},
+		},
+		Tenants: tenants(),
+		Timeout: time.Second,
+		Deep:    "ansicht",
+	}
+}
+
+// tenants returns 8 organisations, a few of them large.
+func tenants() []Tenant {
+	return []Tenant{
+		{"large-1", 0.30}, {"large-2", 0.20}, {"large-3", 0.15},
+		{"small-1", 0.10}, {"small-2", 0.10}, {"small-3", 0.05}, {"small-4", 0.05}, {"small-5", 0.05},
+	}
+}
+
+// service returns the service of a name.
+func (d *Deployment) service(name string) *Service {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i]
+		}
+	}
+	panic("lab: unknown service " + name)
+}
+
+// capacity returns the requests a second that a service can finish when its service time is
+// multiplied by slow. below is the time for which a slot is held by sub-calls.
+func (d *Deployment) capacity(name string, slow float64, below time.Duration) float64 {
+	s := d.service(name)
+	hold := time.Duration(float64(s.ServiceTime)*slow) + below
+	return float64(s.Targets*s.Slots) / hold.Seconds()
+}
+
+// below returns the time that a chain spends under its bottleneck.
+func (d *Deployment) below(c *Chain) time.Duration {
+	total := time.Duration(0)
+	under := false
+	for _, name := range c.Services {
+		if under {
+			total += d.service(name).ServiceTime + 2*d.CrossDelay
+		}
+		under = under || name == c.Bottleneck
+	}
+	return total
+}
--- /dev/null
+++ b/internal/lab/gates.go
@@ -0,0 +1,153 @@
+package lab
+
+import (
+	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/admission"
+	"github.com/guavaford/guavaford/internal/outcome"
+)
+
+// gate decides which attempts run at a target. It reports by start and refuse of the attempt.
+type gate interface {
+	arrive(a *attempt)
+	// cancel removes a queued attempt; false when it isn't queued.
+	cancel(a *attempt) bool
+	finish(a *attempt, res admission.Result)
+	drain()
+	// load returns the report for answers, or nil.
+	load(organisation string) *apiv1.LoadReport
+}
+
+// coreGate is the product's admission.
+type coreGate struct {
+	sim    *Sim
+	core   *admission.Core
+	queued map[*admission.Waiter]*attempt
+}
+
+func newCoreGate(sim *Sim, c admission.Config, v admission.Variant) *coreGate {
+	return &coreGate{sim: sim, core: admission.NewVariant(c, v), queued: make(map[*admission.Waiter]*attempt)}
+}
+
+func (g *coreGate) arrive(a *attempt) {
+	w := &a.waiter
+	w.Request = a.call.request()
+	d := g.core.Arrive(g.sim.Now(), w)
+	switch d.Verdict {
+	case admission.Started:
+		a.start()
+	case admission.Refused:
+		a.refuse(d.Refusal)
+	case admission.Queued:
+		g.queued[w] = a
+		g.sim.After(w.GiveUp.Sub(g.sim.Now()), func() {
+			if g.queued[w] == a {
+				g.core.Expire(g.sim.Now(), w)
+				g.deliver()
+			}
+		})
+	}
+	g.deliver()
+}
+
+// deliver passes decisions on queued attempts on.
+func (g *coreGate) deliver() {
+	for _, r := range append([]admission.Ready(nil), g.core.Ready()...) {
+		a := g.queued[r.Waiter]
+		delete(g.queued, r.Waiter)
+		if r.Verdict == admission.Started {
+			a.start()
+		} else {
+			a.refuse(r.Refusal)
+		}
+	}
+}
+
+func (g *coreGate) cancel(a *attempt) bool {
+	if !g.core.Cancel(&a.waiter) {
+		return false
+	}
+	delete(g.queued, &a.waiter)
+	return true
+}
+
+func (g *coreGate) finish(a *attempt, res admission.Result) {
+	g.core.Finish(g.sim.Now(), a.started, res)
+	g.deliver()
+}
+
+func (g *coreGate) drain() { g.core.SetDraining(true) }
+
+func (g *coreGate) load(organisation string) *apiv1.LoadReport {
+	return g.core.Load(g.sim.Now(), organisation).Message()
+}
+
+// fixedGate is the baseline with a fixed limit and one FIFO queue.
+type fixedGate struct {
+	limit, inFlight int
+	queue           []*attempt
+	draining        bool
+}
+
+// fixedQueueFactor is the queue length of the baseline in multiples of its limit.
+const fixedQueueFactor = 10
+
+func (g *fixedGate) arrive(a *attempt) {
+	switch {
+	case g.draining:
+		a.refuse(outcome.NotRun(outcome.TargetLeaving, 0, ""))
+	case g.inFlight < g.limit:
+		g.inFlight++
+		a.start()
+	case len(g.queue) < g.limit*fixedQueueFactor:
+		g.queue = append(g.queue, a)
+	default:
+		a.refuse(outcome.NotRun(outcome.QueueFull, time.Second, ""))
+	}
+}
+
+func (g *fixedGate) cancel(a *attempt) bool {
+	for i, queued := range g.queue {
+		if queued == a {
+			g.queue = append(g.queue[:i], g.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (g *fixedGate) finish(*attempt, admission.Result) {
+	if len(g.queue) == 0 {
+		g.inFlight--
+		return
+	}
+	next := g.queue[0]
+	g.queue = g.queue[1:]
+	next.start()
+}
+
+func (g *fixedGate) drain() { g.draining = true }
+
+func (g *fixedGate) load(string) *apiv1.LoadReport { return nil }
+
+// openGate is the pass-through baseline.
+type openGate struct {
+	draining bool
+}
+
+func (g *openGate) arrive(a *attempt) {
+	if g.draining {
+		a.refuse(outcome.NotRun(outcome.TargetLeaving, 0, ""))
+		return
+	}
+	a.start()
+}
+
+func (g *openGate) cancel(*attempt) bool { return false }
+
+func (g *openGate) finish(*attempt, admission.Result) {}
+
+func (g *openGate) drain() { g.draining = true }
+
+func (g *openGate) load(string) *apiv1.LoadReport { return nil }
--- /dev/null
+++ b/internal/lab/table.go
@@ -0,0 +1,68 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// seed makes runs repeat exactly.
+const seed = 1
+
+// parallel is the number of runs at a time; each run is sequential.
+const parallel = 3
+
+// Table runs all scenarios of a deployment under the given policies.
+func Table(d func() *Deployment, l Length, policies []Policy) []Result {
+	scenarios := len(Scenarios(l))
+	results := make([]Result, scenarios*len(policies))
+	slots := make(chan struct{}, parallel)
+	var all sync.WaitGroup
+	for i := range scenarios {
+		for j, p := range policies {
+			slots <- struct{}{}
+			all.Go(func() {
+				results[i*len(policies)+j] = Measure(d(), Scenarios(l)[i], p, seed)
+				<-slots
+			})
+		}
+	}
+	all.Wait()
+	return results
+}
+
+// WriteReasons prints why tries failed.
+func WriteReasons(w io.Writer, results []Result) {
+	for _, r := range results {
+		keys := slices.SortedFunc(maps.Keys(r.Reasons), func(a, b Reason) int {
+			return r.Reasons[b] - r.Reasons[a]
+		})
+		fmt.Fprintf(w, "%s %s %s:", r.Deployment, r.Scenario, r.Policy)
+		for _, k := range keys {
+			fmt.Fprintf(w, " %s@%d=%d", k.Code, k.Depth, r.Reasons[k])
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// Write prints results as a Markdown table.
+func Write(w io.Writer, results []Result) {
+	fmt.Fprintln(w, "| Scenario | Policy | Goodput % | Recovery s | Wasted % | Extra mean | Extra max | Worst organisation % | Refused within share % | Class 0 / 1 / 2 % | Not done | Leaver starts |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, r := range results {
+		fmt.Fprintf(w, "| %s | %s | %.1f | %s | %.2f | %.3f | %d | %.1f | %.2f | %.1f / %.1f / %.1f | %d | %d |\n",
+			r.Scenario, r.Policy, 100*r.Goodput, seconds(r.Recovery), 100*r.Wasted, r.ExtraMean, r.ExtraMax,
+			100*r.WorstTenant, 100*r.RefusedWithinRate, 100*r.Classes[0], 100*r.Classes[1], 100*r.Classes[2], r.Lost, r.LeaverStarts)
+	}
+}
+
+// seconds formats a recovery time.
+func seconds(d time.Duration) string {
+	if d < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1f", d.Seconds())
+}
--- /dev/null
+++ b/internal/node/listen.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// listen opens the four addresses of the node.
+func (p *process) listen() error {
+	s := p.o.settings
+	for _, one := range []struct {
+		name    string
+		address string
+		server  *http.Server
+	}{
+		{"callers", s.CallersAddress, p.callers},
+		{"targets", s.TargetsAddress, p.targets},
+		{"operators", s.OperatorAddress, p.operators},
+	} {
+		if err := p.serveHTTP(one.name, one.address, one.server); err != nil {
+			return err
+		}
+	}
+	listener, err := p.transport.Listen(s.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "peers")
+	}
+	p.goRun("peers", func() error { return p.peers.Serve(listener) })
+	return nil
+}
+
+// serveHTTP serves one address.
+func (p *process) serveHTTP(name, address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	p.goRun(name, func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	})
+	return nil
+}
+
+// shutdownServers lets running requests finish, callers' first, since they need the others.
+func (p *process) shutdownServers(ctx context.Context) error {
+	var first error
+	for _, step := range []func(context.Context) error{
+		p.callers.Shutdown,
+		p.peers.Shutdown,
+		p.targets.Shutdown,
+		p.operators.Shutdown,
+	} {
+		if err := step(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// close ends everything at once.
+func (p *process) close() {
+	p.cancel()
+	for _, server := range []*http.Server{p.callers, p.targets, p.operators} {
+		_ = server.Close()
+	}
+	p.peers.Close()
+	p.pool.Close()
+	p.running.Wait()
+}
--- /dev/null
+++ b/internal/node/process.go
@@ -0,0 +1,285 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/guavaford/guavaford/internal/board"
+	"github.com/guavaford/guavaford/internal/callctx"
+	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/control"
+	"github.com/guavaford/guavaford/internal/dispatch"
+	"github.com/guavaford/guavaford/internal/follow"
+	"github.com/guavaford/guavaford/internal/gate"
+	"github.com/guavaford/guavaford/internal/gateway"
+	"github.com/guavaford/guavaford/internal/operator"
+	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/policy"
+	"github.com/guavaford/guavaford/internal/rate"
+	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/runrecord"
+	"github.com/guavaford/guavaford/internal/settings"
+	"github.com/guavaford/guavaford/internal/telemetry"
+)
+
+// Limits of the HTTP servers and of the connections to targets.
+const (
+	maxHeaderBytes     = 64 << 10
+	readHeaderTimeout  = 10 * time.Second
+	callersIdleTimeout = 2 * time.Minute
+	targetDialTimeout  = time.Second
+	targetKeepAlive    = 5 * time.Second
+	targetIdleTimeout  = 30 * time.Second
+	targetIdleConns    = 256
+)
+
+// parts are what the parts of a process share.
+type parts struct {
+	settings *settings.Node
+	identity peer.Identity
+	clock    clock.Clock
+	log      telemetry.Logger
+	metrics  *telemetry.Metrics
+}
+
+// process is one running node.
+type process struct {
+	o          parts
+	transport  peer.Transport
+	pool       *peer.Pool
+	peers      *peer.Server
+	local      *registry.Local
+	directory  *registry.Directory
+	board      *board.Board
+	replica    *control.Replica
+	service    control.Service
+	keyring    *gateway.Keyring
+	gate       *gate.Gate
+	dispatcher *dispatch.Dispatcher
+	rates      *rate.Client
+	runs       *gateway.Runs
+	loop       *follow.Loop
+	token      string
+
+	callers   *http.Server
+	targets   *http.Server
+	operators *http.Server
+
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	// failed receives the first error of a part that must not end.
+	failed chan error
+}
+
+// newProcess builds every part of a node. Nothing runs yet.
+func newProcess(s *settings.Node, c clock.Clock, log telemetry.Logger) (*process, error) {
+	p := &process{
+		o: parts{
+			settings: s,
+			identity: peer.Identity{Node: s.Name, Incarnation: peer.NewIncarnation(c.Now())},
+			clock:    c,
+			log:      log,
+			metrics:  telemetry.NewMetrics(),
+		},
+		failed: make(chan error, 8),
+	}
+	secrets, err := loadSecrets(s)
+	if err != nil {
+		return nil, err
+	}
+	p.token = secrets.operatorToken
+	if p.transport, err = peer.NewYamux(secrets.fleet); err != nil {
+		return nil, err
+	}
+	p.pool = peer.NewPool(p.o.identity, p.transport, peer.PoolOptions{})
+	p.peers = peer.NewServer(p.o.identity, peer.ServerOptions{})
+	p.local = registry.NewLocal(registry.LocalOptions{
+		Node:        s.Name,
+		NodeAddress: s.PeerAddress,
+		DataCentre:  s.DataCentre,
+		Incarnation: p.o.identity.Incarnation,
+		TTL:         s.AnnouncementTTL,
+	})
+	p.directory = registry.NewDirectory()
+	if p.board, err = board.New(p.directory.Section()); err != nil {
+		return nil, err
+	}
+	if err := p.buildControl(); err != nil {
+		return nil, err
+	}
+	p.buildPath()
+	return p, p.buildLoop()
+}
+
+// buildPath builds the parts that a request passes.
+func (p *process) buildPath() {
+	s := p.o.settings
+	handles := callctx.NewHandles()
+	p.keyring = gateway.NewKeyring(p.board, p.o.clock, s.FreshnessLimit)
+	p.gate = gate.New(gate.Options{
+		Keyring:   p.keyring,
+		Policies:  policy.Admissions{Configuration: p.board.Configuration},
+		Handles:   handles,
+		Clock:     p.o.clock,
+		Metrics:   p.o.metrics,
+		Log:       p.o.log,
+		Transport: targetTransport(),
+	})
+	registerGate(p.peers, p.o.identity, p.gate)
+	p.dispatcher = dispatch.New(dispatch.Options{
+		Identity:   p.o.identity,
+		DataCentre: s.DataCentre,
+		Gate:       p.gate,
+		Sender:     sender{pool: p.pool},
+		Directory:  p.directory,
+		Board:      p.board,
+		Clock:      p.o.clock,
+		Metrics:    p.o.metrics,
+		Log:        p.o.log,
+	})
+	identity := rate.Identity{Node: p.o.identity.Node, Incarnation: p.o.identity.Incarnation}
+	p.rates = rate.NewClient(identity, p.leaseSender(), p.board.Placement, p.o.clock, rate.Config{})
+	records := runrecord.NewClient(p.service, func() uint32 { return p.board.Placement.Load().GetRunShards() })
+	p.runs = gateway.NewRuns(gateway.RunsOptions{
+		Identity:   p.o.identity,
+		Address:    s.PeerAddress,
+		Records:    records,
+		Dispatcher: p.dispatcher,
+		Clock:      p.o.clock,
+		Metrics:    p.o.metrics,
+		Log:        p.o.log,
+	})
+	entry := gateway.NewEntry(gateway.Options{
+		Board:      p.board,
+		Keyring:    p.keyring,
+		Dispatcher: p.dispatcher,
+		Rates:      p.rates,
+		Runs:       p.runs,
+		Handles:    handles,
+		Clock:      p.o.clock,
+		Metrics:    p.o.metrics,
+		Log:        p.o.log,
+	})
+	p.callers = httpServer(gateway.NewCallers(entry))
+	p.targets = httpServer(gateway.NewTargets(entry, p.local))
+	p.operators = operator.NewServer(operator.NewHandler(p.service, p.token, p.o.log, p))
+}
+
+// buildLoop builds the heartbeats.
+func (p *process) buildLoop() error {
+	loop, err := follow.New(follow.Options{
+		Identity:   p.o.identity,
+		Address:    p.o.settings.PeerAddress,
+		DataCentre: p.o.settings.DataCentre,
+		Syncer:     p.service,
+		Board:      p.board,
+		Local:      p.local,
+		Directory:  p.directory,
+		Folder:     p.o.settings.DataFolder,
+		Clock:      p.o.clock,
+		Log:        p.o.log,
+	})
+	p.loop = loop
+	return err
+}
+
+// targetTransport returns the HTTP client side towards targets.
+func targetTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: targetDialTimeout, KeepAlive: targetKeepAlive}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: targetIdleConns,
+		IdleConnTimeout:     targetIdleTimeout,
+	}
+}
+
+// httpServer returns a server for HTTP/1.1 and HTTP/2 without TLS.
+func httpServer(h http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         protocols,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callersIdleTimeout,
+	}
+}
+
+// start opens the addresses and runs the controllers.
+func (p *process) start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	if err := p.listen(); err != nil {
+		return err
+	}
+	if p.replica != nil {
+		p.goRun("control", func() error { return p.replica.Serve(ctx) })
+	}
+	p.goRun("heartbeats", func() error { p.loop.Run(ctx); return nil })
+	p.goRun("dispatch", func() error { p.dispatcher.Run(ctx); return nil })
+	p.goRun("rate", func() error { p.rates.Run(ctx); return nil })
+	p.goRun("targets", func() error { p.refreshTargets(ctx); return nil })
+	p.publishMetrics()
+	p.logSettings()
+	return nil
+}
+
+// goRun runs one part; an error of it stops the process.
+func (p *process) goRun(name string, run func() error) {
+	p.running.Add(1)
+	go func() {
+		defer p.running.Done()
+		if err := run(); err != nil {
+			p.failed <- errors.Wrap(err, name)
+		}
+	}()
+}
+
+// expiryInterval is how often targets that no longer renew are looked for.
+const expiryInterval = 250 * time.Millisecond
+
+// refreshTargets passes local targets and policies on to the gate.
+func (p *process) refreshTargets(ctx context.Context) {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		local, localChanged := p.local.Section().Watch()
+		_, configurationChanged := p.board.Configuration.Watch()
+		targets := make([]*registry.Target, 0, len(local.Targets))
+		for _, t := range local.Targets {
+			targets = append(targets, &t.Target)
+		}
+		p.gate.SetTargets(targets)
+		if !p.awaitTargetNews(ctx, ticker, localChanged, configurationChanged) {
+			return
+		}
+	}
+}
+
+// awaitTargetNews expires targets until one of the channels is closed. It returns false when ctx ends.
+func (p *process) awaitTargetNews(ctx context.Context, ticker *time.Ticker, a, b <-chan struct{}) bool {
+	for {
+		select {
+		case <-a:
+			return true
+		case <-b:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+			for _, t := range p.local.Expire(p.o.clock.Now()) {
+				p.o.log.Warn("target not renewed", "target", t.Name, "service", t.Service)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/secrets.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"github.com/guavaford/guavaford/internal/settings"
+)
+
+// Names of the files that are made in the data folder when no other is set.
+const (
+	fleetSecretName   = "fleet-secret"
+	operatorTokenName = "operator-token"
+)
+
+// Sizes of secrets in bytes.
+const (
+	secretBytes    = 32
+	minSecretBytes = 16
+)
+
+// secrets are the secrets of one process.
+type secrets struct {
+	fleet         []byte
+	operatorToken string
+}
+
+// loadSecrets reads the secrets, making those that are not set.
+func loadSecrets(s *settings.Node) (*secrets, error) {
+	if err := os.MkdirAll(s.DataFolder, 0o700); err != nil {
+		return nil, errors.Wrap(err, "data folder")
+	}
+	fleet, err := loadSecret(s.FleetSecretFile, filepath.Join(s.DataFolder, fleetSecretName))
+	if err != nil {
+		return nil, errors.Wrap(err, "fleet secret")
+	}
+	token, err := loadSecret(s.OperatorTokenFile, filepath.Join(s.DataFolder, operatorTokenName))
+	if err != nil {
+		return nil, errors.Wrap(err, "operator token")
+	}
+	return &secrets{fleet: fleet, operatorToken: string(token)}, nil
+}
+
+// loadSecret reads a secret from the file that is set, or from the default one, which is
+// made when it is missing.
+func loadSecret(set, byDefault string) ([]byte, error) {
+	path := set
+	if path == "" {
+		path = byDefault
+	}
+	data, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) && set == "" {
+		return makeSecret(path)
+	}
+	if err != nil {
+		return nil, err
+	}
+	secret := bytes.TrimSpace(data)
+	if len(secret) < minSecretBytes {
+		return nil, errors.Errorf("%s holds %d bytes; at least %d are needed", path, len(secret), minSecretBytes)
+	}
+	return secret, nil
+}
+
+// makeSecret writes a new random secret that only the owner of the process can read.
+func makeSecret(path string) ([]byte, error) {
+	raw := make([]byte, secretBytes)
+	_, _ = rand.Read(raw)
+	secret := []byte(hex.EncodeToString(raw))
+	return secret, os.WriteFile(path, append(secret, '\n'), 0o600)
+}
--- /dev/null
+++ b/internal/node/sender.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+	"io"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/gate"
+	"github.com/guavaford/guavaford/internal/peer"
+)
+
+// sender carries calls to the gates of other nodes.
+type sender struct {
+	pool *peer.Pool
+}
+
+// Call sends a call and waits for the header of its answer.
+func (s sender) Call(ctx context.Context, address string, h *apiv1.CallHeader, body io.Reader) (*gate.Answer, error) {
+	answer, err := s.pool.Call(ctx, address, h, body)
+	if err != nil {
+		return nil, err
+	}
+	return received(answer), nil
+}
+
+// Attach asks for the answer of a call that was started.
+func (s sender) Attach(ctx context.Context, address string, key *apiv1.CallKey) (*gate.Answer, error) {
+	answer, err := s.pool.Attach(ctx, address, key)
+	if err != nil {
+		return nil, err
+	}
+	return received(answer), nil
+}
+
+// Fence asks for the promise that a call was not started and never will be.
+func (s sender) Fence(ctx context.Context, address string, r *apiv1.FenceRequest) (*apiv1.FenceResponse, error) {
+	resp := &apiv1.FenceResponse{}
+	err := peer.Unary(ctx, s.pool, address, apiv1.Method_METHOD_FENCE, r, resp)
+	return resp, err
+}
+
+// received turns an answer from the network into the gate's form. A refusal has no body,
+// but it brings back what was lent; its exchange ends here.
+func received(a *peer.Answer) *gate.Answer {
+	if a.Header.GetRefusal() != nil {
+		_, _ = io.Copy(io.Discard, a.Body)
+		_ = a.Body.Close()
+		return &gate.Answer{Header: a.Header, AllowanceLeft: a.AllowanceLeft}
+	}
+	return &gate.Answer{Header: a.Header, Body: a.Body, AllowanceLeft: a.AllowanceLeft}
+}
+
+// leaseSender carries lease requests to the owners of rate shards.
+type leaseSender struct {
+	pool *peer.Pool
+	// own is the peer address of this node, and local its own replica, if it has one.
+	own   string
+	local leaser
+}
+
+// leaser serves lease requests.
+type leaser interface {
+	Lease(ctx context.Context, r *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error)
+}
+
+// Lease sends a lease request to the replica at an address.
+func (s leaseSender) Lease(ctx context.Context, address string, r *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error) {
+	if address == s.own && s.local != nil {
+		return s.local.Lease(ctx, r)
+	}
+	resp := &apiv1.LeaseResponse{}
+	err := peer.Unary(ctx, s.pool, address, apiv1.Method_METHOD_LEASE, r, resp)
+	return resp, err
+}
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+	"io"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/gate"
+	"github.com/guavaford/guavaford/internal/peer"
+)
+
+// copyBytes is the size of the buffer between a gate and a connection.
+const copyBytes = 32 << 10
+
+// registerGate serves the calls that other nodes send to the targets of this host.
+func registerGate(s *peer.Server, id peer.Identity, g *gate.Gate) {
+	s.HandleCall(func(ctx context.Context, in *peer.IncomingCall) {
+		deliver(in, g.Do(ctx, in.Header, in.Body))
+	})
+	s.HandleAttach(func(ctx context.Context, key *apiv1.CallKey, in *peer.IncomingCall) {
+		deliver(in, g.Attach(ctx, key))
+	})
+	peer.HandleUnary(s, apiv1.Method_METHOD_FENCE,
+		func() *apiv1.FenceRequest { return &apiv1.FenceRequest{} },
+		func(_ context.Context, _ peer.Identity, r *apiv1.FenceRequest) (*apiv1.FenceResponse, error) {
+			return fence(id, g, r), nil
+		})
+}
+
+// fence answers a fence request. A node that has restarted since can promise nothing.
+func fence(id peer.Identity, g *gate.Gate, r *apiv1.FenceRequest) *apiv1.FenceResponse {
+	resp := &apiv1.FenceResponse{Incarnation: id.Incarnation}
+	if r.GetTargetIncarnation() == id.Incarnation {
+		resp.State = g.Fence(r.GetKey())
+	}
+	return resp
+}
+
+// deliver sends an answer to the node that asked for it.
+func deliver(in *peer.IncomingCall, a *gate.Answer) {
+	if a.Body != nil {
+		defer a.Body.Close()
+	}
+	if err := in.Answer(a.Header); err != nil {
+		return
+	}
+	if a.Body != nil && !copyBody(in, a.Body) {
+		in.Abort()
+		return
+	}
+	left, _ := a.AllowanceLeft()
+	_ = in.Finish(left)
+}
+
+// copyBody copies an answer's body. It returns false when the body did not become whole
+// or the connection failed.
+func copyBody(in *peer.IncomingCall, body io.Reader) bool {
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, werr := in.Write(buffer[:n]); werr != nil {
+				return false
+			}
+		}
+		if err == io.EOF {
+			return true
+		}
+		if err != nil {
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/guavaford/guavaford/internal/operator"
+)
+
+// LocalStatus describes this node for operators.
+func (p *process) LocalStatus() operator.NodeStatus {
+	s := operator.NodeStatus{
+		Name:           p.o.identity.Node,
+		DataCentre:     p.o.settings.DataCentre,
+		Region:         p.o.settings.Region,
+		Incarnation:    p.o.identity.Incarnation,
+		Revision:       p.board.Configuration.Load().Revision,
+		ConfirmedAgeMS: p.confirmedAge(),
+		Stopping:       p.stopping.Load(),
+	}
+	for _, t := range p.gate.Loads() {
+		s.Targets = append(s.Targets, operator.LocalTarget{
+			Service:  t.Target.Service,
+			Name:     t.Target.Name,
+			InFlight: t.Load.InFlight,
+			Queued:   t.Load.Queued,
+			Limit:    t.Load.Limit,
+			Draining: t.Load.Draining,
+		})
+	}
+	slices.SortFunc(s.Targets, func(a, b operator.LocalTarget) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+// confirmedAge returns the age of the confirmation in milliseconds; -1 before the first.
+func (p *process) confirmedAge() int64 {
+	age, ok := p.board.Freshness.Load().Age(p.o.clock.Now())
+	if !ok {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// publishMetrics shows counters, gauges and histograms by expvar.
+func (p *process) publishMetrics() {
+	m := p.o.metrics
+	m.SetGauge("revision", func() float64 { return float64(p.board.Configuration.Load().Revision) })
+	m.SetGauge("confirmed_age_ms", func() float64 { return float64(p.confirmedAge()) })
+	m.SetGauge("local_targets", func() float64 { return float64(len(p.gate.Loads())) })
+	m.SetGauge("admission_limit", func() float64 { return p.sumLoads(func(t operator.LocalTarget) int { return t.Limit }) })
+	m.SetGauge("queued", func() float64 { return p.sumLoads(func(t operator.LocalTarget) int { return t.Queued }) })
+	m.Publish()
+}
+
+// sumLoads adds up one figure of the local targets.
+func (p *process) sumLoads(figure func(operator.LocalTarget) int) float64 {
+	sum := 0
+	for _, t := range p.LocalStatus().Targets {
+		sum += figure(t)
+	}
+	return float64(sum)
+}
+
+// logSettings logs the settings in force. Secrets stand in files and are not logged.
+func (p *process) logSettings() {
+	s := p.o.settings
+	p.o.log.Info("node started",
+		"node", s.Name,
+		"data_centre", s.DataCentre,
+		"region", s.Region,
+		"callers_address", s.CallersAddress,
+		"targets_address", s.TargetsAddress,
+		"operator_address", s.OperatorAddress,
+		"peer_address", s.PeerAddress,
+		"data_folder", s.DataFolder,
+		"no_control", s.NoControl,
+		"control", s.Control,
+		"initial_replicas", s.InitialReplicas,
+		"fleet_secret_file", s.FleetSecretFile,
+		"operator_token_file", s.OperatorTokenFile,
+		"freshness_limit", s.FreshnessLimit,
+		"announcement_ttl", s.AnnouncementTTL,
+		"stop_timeout", s.StopTimeout,
+		"log_level", s.LogLevel,
+	)
+}
--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,264 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/config"
+	"github.com/guavaford/guavaford/internal/telemetry"
+)
+
+// Times of the server.
+const (
+	requestTimeout    = 10 * time.Second
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 15 * time.Second
+	writeTimeout      = 30 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// Control is what the handler needs of control.
+type Control interface {
+	Propose(ctx context.Context, r *apiv1.ProposeRequest) (*apiv1.ProposeResponse, error)
+	Sync(ctx context.Context, r *apiv1.SyncRequest) (*apiv1.SyncResponse, error)
+	Status(ctx context.Context) (*apiv1.ControlStatus, error)
+}
+
+// handler serves the routes of this interface.
+type handler struct {
+	control Control
+	local   LocalSource
+	token   [sha256.Size]byte
+	log     telemetry.Logger
+}
+
+// NewHandler returns the handler of the operators' address. Token must not be empty.
+func NewHandler(control Control, token string, log telemetry.Logger, local LocalSource) http.Handler {
+	if token == "" {
+		panic("operator: the token must not be empty")
+	}
+	h := &handler{control: control, local: local, token: sha256.Sum256([]byte(token)), log: log}
+	router := mux.NewRouter()
+	router.HandleFunc(pathConfiguration, h.configuration).Methods(http.MethodGet)
+	router.HandleFunc(pathChanges, h.change).Methods(http.MethodPost)
+	router.HandleFunc(pathStatus, h.status).Methods(http.MethodGet)
+	router.Handle(pathMetrics, expvar.Handler()).Methods(http.MethodGet)
+	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		newProblem(CodePathUnknown, "there is no %s", r.URL.Path).write(w)
+	})
+	router.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		newProblem(CodeMethodNotAllowed, "%s does not take %s", r.URL.Path, r.Method).write(w)
+	})
+	return h.authenticated(router)
+}
+
+// NewServer returns a server with the time and size limits of this interface.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// authenticated lets requests with the token pass, and bounds their time and body.
+func (h *handler) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !h.permits(r) {
+			h.log.Warn("operator refused", "remote", r.RemoteAddr, "method", r.Method, "path", r.URL.Path, "code", CodeTokenInvalid)
+			newProblem(CodeTokenInvalid, "the request carries no valid operators' token").write(w)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// permits compares the token in constant time, whatever its length.
+func (h *handler) permits(r *http.Request) bool {
+	values := r.Header.Values("Authorization")
+	if len(values) != 1 {
+		return false
+	}
+	scheme, token, found := strings.Cut(values[0], " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") {
+		return false
+	}
+	sum := sha256.Sum256([]byte(token))
+	return subtle.ConstantTimeCompare(sum[:], h.token[:]) == 1
+}
+
+// configuration returns all documents and keys.
+func (h *handler) configuration(w http.ResponseWriter, r *http.Request) {
+	response, err := h.control.Sync(r.Context(), &apiv1.SyncRequest{})
+	if err == nil && response.GetError() != "" {
+		err = errors.New(response.GetError())
+	}
+	if err != nil {
+		newProblem(CodeControlUnavailable, "no control replica answered: %v", err).write(w)
+		return
+	}
+	configuration, err := configurationOf(response)
+	if err != nil {
+		newProblem(CodeControlUnavailable, "a control replica gave an inconsistent answer: %v", err).write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, configuration)
+}
+
+// configurationOf folds a snapshot or the deltas since revision 0.
+func configurationOf(response *apiv1.SyncResponse) (*Configuration, error) {
+	var state config.State
+	keys := map[uint64]Key{}
+	issue := func(records []*apiv1.KeyRecord) {
+		for _, k := range records {
+			keys[k.GetNumber()] = Key{k.GetNumber(), k.GetOrganisation(), k.GetWithdrawn(), k.GetRevision()}
+		}
+	}
+	if snapshot := response.GetSnapshot(); snapshot != nil {
+		if err := state.Load(snapshot); err != nil {
+			return nil, err
+		}
+		issue(snapshot.GetKeys())
+	}
+	for _, delta := range response.GetDeltas() {
+		if err := state.Add(delta); err != nil {
+			return nil, err
+		}
+		issue(delta.GetIssued())
+		for _, number := range delta.GetWithdrawn() {
+			k := keys[number]
+			k.Withdrawn = true
+			k.Revision = delta.GetRevision()
+			keys[number] = k
+		}
+	}
+	all := &Configuration{Revision: state.Revision(), Confirmed: response.GetVouched() && response.GetVouchedRevision() <= state.Revision()}
+	for _, resource := range state.Resources() {
+		all.Documents = append(all.Documents, FromResource(resource))
+	}
+	all.Keys = sortedKeys(keys)
+	return all, nil
+}
+
+// change validates the form of a change and proposes it.
+func (h *handler) change(w http.ResponseWriter, r *http.Request) {
+	change, problem := readChange(r.Body)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	response, err := h.control.Propose(r.Context(), &apiv1.ProposeRequest{Change: change})
+	if err != nil {
+		h.logChange(r, change, string(CodeChangeUnknown), 0)
+		unknownOutcome(change.GetId(), err.Error()).write(w)
+		return
+	}
+	result := response.GetOutcome()
+	h.logChange(r, change, result.GetResult().String(), result.GetRevision())
+	if problem := outcomeProblem(change.GetId(), result); problem != nil {
+		problem.write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, &Accepted{ID: change.GetId(), Revision: result.GetRevision(), KeyNumbers: result.GetKeyNumbers()})
+}
+
+// logChange writes the audit line of a change.
+func (h *handler) logChange(r *http.Request, change *apiv1.Change, result string, revision uint64) {
+	h.log.Info("operator change", "change_id", change.GetId(), "result", result, "revision", revision, "remote", r.RemoteAddr,
+		"upserts", len(change.GetUpserts()), "deletes", len(change.GetDeletes()),
+		"issued", len(change.GetIssueKeys()), "withdrawn", len(change.GetWithdrawKeys()))
+}
+
+// readChange reads a change and checks everything that needs no other document.
+func readChange(body io.Reader) (*apiv1.Change, *Problem) {
+	var change Change
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&change)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, newProblem(CodeBodyTooLarge, "a change may have at most %d bytes", tooLarge.Limit)
+	case err != nil:
+		return nil, newProblem(CodeRequestInvalid, "the body is not a change: %v", err)
+	case !changeID.MatchString(change.ID):
+		return nil, newProblem(CodeRequestInvalid, "id %q: allowed are 1 to 64 letters, digits, . _ and -", change.ID)
+	case change.AnyRevision == (change.ExpectedRevision != nil):
+		return nil, newProblem(CodeRequestInvalid, "exactly one of expectedRevision and anyRevision is required")
+	}
+	message := change.message()
+	var faults config.Problems
+	for _, resource := range message.GetUpserts() {
+		faults = append(faults, config.Canonicalise(resource)...)
+	}
+	if len(faults) > 0 {
+		return nil, invalidConfiguration(faults.Strings())
+	}
+	return message, nil
+}
+
+// invalidConfiguration returns the problem of a change that control did or would not accept.
+func invalidConfiguration(faults []string) *Problem {
+	problem := newProblem(CodeConfigurationInvalid, "the configuration would not be valid; nothing was changed")
+	problem.Faults = faults
+	return problem
+}
+
+// unknownOutcome returns the problem of a change whose outcome can't be told.
+func unknownOutcome(id, reason string) *Problem {
+	problem := newProblem(CodeChangeUnknown, "the change %s may or may not take effect; resend it with the same id (%s)", id, reason)
+	problem.Applied = AppliedUnknown
+	return problem
+}
+
+// outcomeProblem returns the problem of a change that was not accepted, or nil.
+func outcomeProblem(id string, result *apiv1.ChangeOutcome) *Problem {
+	switch result.GetResult() {
+	case apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED:
+		return nil
+	case apiv1.ChangeResult_CHANGE_RESULT_CONFLICT:
+		problem := newProblem(CodeRevisionConflict, "the current revision is %d", result.GetRevision())
+		problem.Revision = result.GetRevision()
+		return problem
+	case apiv1.ChangeResult_CHANGE_RESULT_INVALID:
+		return invalidConfiguration(result.GetProblems())
+	case apiv1.ChangeResult_CHANGE_RESULT_ID_REUSED:
+		problem := newProblem(CodeChangeIDReused, "the change id %s was used for another change", id)
+		problem.Revision = result.GetRevision()
+		return problem
+	case apiv1.ChangeResult_CHANGE_RESULT_UNAVAILABLE:
+		return newProblem(CodeControlUnavailable, "no quorum of control replicas at the moment; nothing was changed")
+	default:
+		return unknownOutcome(id, "no quorum confirmed it in time")
+	}
+}
+
+// status returns what is known of the fleet and of this node.
+func (h *handler) status(w http.ResponseWriter, r *http.Request) {
+	status := &Status{Node: h.local.LocalStatus()}
+	control, err := h.control.Status(r.Context())
+	if err != nil {
+		status.ControlError = err.Error()
+	} else {
+		status.Control = controlStatus(control)
+	}
+	writeJSON(w, http.StatusOK, status)
+}
--- /dev/null
+++ b/internal/operator/handler_test.go
@@ -0,0 +1,124 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/telemetry"
+)
+
+const testToken = "0123456789abcdef0123456789abcdef"
+
+// scriptedControl answers each change with a fixed outcome or error.
+type scriptedControl struct {
+	outcome *apiv1.ChangeOutcome
+	err     error
+	calls   int
+}
+
+func (s *scriptedControl) Propose(context.Context, *apiv1.ProposeRequest) (*apiv1.ProposeResponse, error) {
+	s.calls++
+	return &apiv1.ProposeResponse{Outcome: s.outcome}, s.err
+}
+
+func (s *scriptedControl) Sync(context.Context, *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
+	return nil, errors.New("control is away")
+}
+
+func (s *scriptedControl) Status(context.Context) (*apiv1.ControlStatus, error) {
+	return nil, errors.New("control is away")
+}
+
+func (s *scriptedControl) LocalStatus() NodeStatus { return NodeStatus{Name: "n1"} }
+
+// send sends a request to a handler over scripted control.
+func send(control *scriptedControl, authorization, method, path, body string) *httptest.ResponseRecorder {
+	h := NewHandler(control, testToken, telemetry.Discard(), control)
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if authorization != "" {
+		r.Header.Set("Authorization", authorization)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// problemOf reads the problem document of an answer.
+func problemOf(t *testing.T, w *httptest.ResponseRecorder) Problem {
+	t.Helper()
+	require.Equal(t, "application/problem+json", w.Header().Get("Content-Type"))
+	var p Problem
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &p))
+	require.Equal(t, w.Code, p.Status)
+	return p
+}
+
+func TestEveryPathNeedsTheToken(t *testing.T) {
+	control := &scriptedControl{}
+	for _, path := range []string{pathConfiguration, pathChanges, pathStatus, pathMetrics, "/", "/debug/pprof/"} {
+		for _, authorization := range []string{"", "Bearer", "Bearer x", "Bearer " + testToken + "x", "Bearer " + testToken[1:], "Basic " + testToken} {
+			w := send(control, authorization, http.MethodPost, path, "{}")
+			require.Equal(t, CodeTokenInvalid, problemOf(t, w).Code, "%s %s", path, authorization)
+			require.NotEmpty(t, w.Header().Get("WWW-Authenticate"))
+		}
+	}
+	require.Equal(t, http.StatusOK, send(control, "Bearer "+testToken, http.MethodGet, pathMetrics, "").Code)
+	require.Zero(t, control.calls)
+}
+
+func TestFaultyRequestsReachNoReplica(t *testing.T) {
+	for body, code := range map[string]Code{
+		`{`:                               CodeRequestInvalid,
+		`{"id":"a b","anyRevision":true}`: CodeRequestInvalid,
+		`{"id":"a"}`:                      CodeRequestInvalid,
+		`{"id":"a","anyRevision":true,"surprise":1}`:                                                   CodeRequestInvalid,
+		`{"id":"a","anyRevision":true,"expectedRevision":0}`:                                           CodeRequestInvalid,
+		`{"id":"` + strings.Repeat("a", MaxBodyBytes) + `"}`:                                           CodeBodyTooLarge,
+		`{"id":"a","anyRevision":true,"upserts":[{"kind":"Class","name":"c","spec":{"priority":99}}]}`: CodeConfigurationInvalid,
+	} {
+		control := &scriptedControl{}
+		p := problemOf(t, send(control, "Bearer "+testToken, http.MethodPost, pathChanges, body))
+		require.Equal(t, code, p.Code, body[:min(len(body), 80)])
+		require.Equal(t, AppliedNo, p.Applied)
+		require.Zero(t, control.calls)
+	}
+	require.Equal(t, CodePathUnknown, problemOf(t, send(&scriptedControl{}, "Bearer "+testToken, http.MethodGet, "/v2", "")).Code)
+	require.Equal(t, CodeMethodNotAllowed, problemOf(t, send(&scriptedControl{}, "Bearer "+testToken, http.MethodPut, pathChanges, "")).Code)
+}
+
+func TestOutcomesOfChanges(t *testing.T) {
+	const change = `{"id":"a","expectedRevision":3,"deletes":[{"kind":"Class","name":"c"}]}`
+	for _, c := range []struct {
+		control *scriptedControl
+		code    Code
+		applied Applied
+	}{
+		{&scriptedControl{outcome: &apiv1.ChangeOutcome{Result: apiv1.ChangeResult_CHANGE_RESULT_CONFLICT, Revision: 9}}, CodeRevisionConflict, AppliedNo},
+		{&scriptedControl{outcome: &apiv1.ChangeOutcome{Result: apiv1.ChangeResult_CHANGE_RESULT_INVALID}}, CodeConfigurationInvalid, AppliedNo},
+		{&scriptedControl{outcome: &apiv1.ChangeOutcome{Result: apiv1.ChangeResult_CHANGE_RESULT_ID_REUSED}}, CodeChangeIDReused, AppliedNo},
+		{&scriptedControl{outcome: &apiv1.ChangeOutcome{Result: apiv1.ChangeResult_CHANGE_RESULT_UNAVAILABLE}}, CodeControlUnavailable, AppliedNo},
+		{&scriptedControl{outcome: &apiv1.ChangeOutcome{Result: apiv1.ChangeResult_CHANGE_RESULT_UNKNOWN}}, CodeChangeUnknown, AppliedUnknown},
+		{&scriptedControl{outcome: &apiv1.ChangeOutcome{}}, CodeChangeUnknown, AppliedUnknown},
+		{&scriptedControl{err: errors.New("connection lost")}, CodeChangeUnknown, AppliedUnknown},
+	} {
+		p := problemOf(t, send(c.control, "Bearer "+testToken, http.MethodPost, pathChanges, change))
+		require.Equal(t, c.code, p.Code)
+		require.Equal(t, c.applied, p.Applied, c.code)
+		require.Equal(t, c.control.outcome.GetResult() == apiv1.ChangeResult_CHANGE_RESULT_CONFLICT, p.Revision == 9)
+	}
+}
+
+func TestStatusAnswersWithoutControl(t *testing.T) {
+	w := send(&scriptedControl{}, "Bearer "+testToken, http.MethodGet, pathStatus, "")
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Contains(t, w.Body.String(), "control is away")
+	require.Equal(t, CodeControlUnavailable, problemOf(t, send(&scriptedControl{}, "Bearer "+testToken, http.MethodGet, pathConfiguration, "")).Code)
+}
--- /dev/null
+++ b/internal/operator/problem.go
@@ -0,0 +1,115 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// Code is the stable name of an error of this interface.
+type Code string
+
+// The codes of this interface.
+const (
+	CodeTokenInvalid         Code = "token-invalid"
+	CodeRequestInvalid       Code = "request-invalid"
+	CodeBodyTooLarge         Code = "request-too-large"
+	CodePathUnknown          Code = "path-unknown"
+	CodeMethodNotAllowed     Code = "request-method-not-allowed"
+	CodeConfigurationInvalid Code = "configuration-invalid"
+	CodeRevisionConflict     Code = "revision-conflict"
+	CodeChangeIDReused       Code = "change-id-reused"
+	CodeControlUnavailable   Code = "control-unavailable"
+	CodeChangeUnknown        Code = "change-outcome-unknown"
+)
+
+// statuses holds the HTTP status of each code.
+var statuses = map[Code]int{
+	CodeTokenInvalid:         http.StatusUnauthorized,
+	CodeRequestInvalid:       http.StatusBadRequest,
+	CodeBodyTooLarge:         http.StatusRequestEntityTooLarge,
+	CodePathUnknown:          http.StatusNotFound,
+	CodeMethodNotAllowed:     http.StatusMethodNotAllowed,
+	CodeConfigurationInvalid: http.StatusUnprocessableEntity,
+	CodeRevisionConflict:     http.StatusConflict,
+	CodeChangeIDReused:       http.StatusConflict,
+	CodeControlUnavailable:   http.StatusServiceUnavailable,
+	CodeChangeUnknown:        http.StatusGatewayTimeout,
+}
+
+// Codes returns every code in no particular order.
+func Codes() []Code {
+	codes := make([]Code, 0, len(statuses))
+	for code := range statuses {
+		codes = append(codes, code)
+	}
+	return codes
+}
+
+// Applied states whether a change took effect.
+type Applied string
+
+// The values of Applied.
+const (
+	AppliedNo      Applied = "no"
+	AppliedUnknown Applied = "unknown"
+)
+
+// Problem is an RFC 9457 problem document of this interface. It is also the error that
+// the client returns.
+type Problem struct {
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	Code   Code   `json:"code"`
+	// Applied states whether the change of the request took effect.
+	Applied Applied `json:"applied,omitempty"`
+	// Revision is the current one on a conflict.
+	Revision uint64 `json:"revision,omitempty"`
+	// Faults lists what is wrong with a configuration.
+	Faults []string `json:"faults,omitempty"`
+}
+
+// newProblem returns a problem of the code for a request that changed nothing.
+func newProblem(code Code, format string, args ...any) *Problem {
+	status := statuses[code]
+	return &Problem{Title: http.StatusText(status), Status: status, Code: code, Applied: AppliedNo, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error returns code, detail and faults, each fault on its own line.
+func (p *Problem) Error() string {
+	lines := []string{fmt.Sprintf("%s: %s", p.Code, p.Detail)}
+	for _, fault := range p.Faults {
+		lines = append(lines, "  "+fault)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// retryAfterSeconds is sent with problems that pass by themselves.
+const retryAfterSeconds = "1"
+
+// write sends the problem.
+func (p *Problem) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "application/problem+json")
+	switch p.Code {
+	case CodeControlUnavailable, CodeChangeUnknown:
+		header.Set("Retry-After", retryAfterSeconds)
+	case CodeTokenInvalid:
+		header.Set("WWW-Authenticate", `Bearer realm="guavaford operators"`)
+	}
+	writeJSON(w, p.Status, p)
+}
+
+// writeJSON sends a value. The status line is out before encoding, so that a failed
+// write can only mean that the client is gone.
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	header := w.Header()
+	if header.Get("Content-Type") == "" {
+		header.Set("Content-Type", "application/json")
+	}
+	header.Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,188 @@
+package operator
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// LocalSource tells the state of the answering node.
+type LocalSource interface {
+	LocalStatus() NodeStatus
+}
+
+// NodeStatus is the answering node as it sees itself.
+type NodeStatus struct {
+	Name        string `json:"name"`
+	DataCentre  string `json:"dataCentre"`
+	Region      string `json:"region"`
+	Incarnation uint64 `json:"incarnation"`
+	// Revision is the one in force at this node.
+	Revision uint64 `json:"revision"`
+	// ConfirmedAgeMS is the time since control confirmed the revision, in milliseconds; -1 if it never did.
+	ConfirmedAgeMS int64 `json:"confirmedAgeMs"`
+	// Stopping is true during a planned stop.
+	Stopping bool          `json:"stopping"`
+	Targets  []LocalTarget `json:"targets,omitempty"`
+	Leases   []LocalLease  `json:"leases,omitempty"`
+}
+
+// LocalTarget is a target beside the answering node.
+type LocalTarget struct {
+	Service  string `json:"service"`
+	Name     string `json:"name"`
+	InFlight int    `json:"inFlight"`
+	Queued   int    `json:"queued"`
+	// Limit is the number of requests that may run at once at the moment.
+	Limit    int  `json:"limit"`
+	Draining bool `json:"draining"`
+}
+
+// LocalLease is the rate tokens that the answering node holds for an organisation.
+type LocalLease struct {
+	Organisation string `json:"organisation"`
+	Tokens       uint32 `json:"tokens"`
+}
+
+// Status is the fleet as control sees it, and the answering node.
+type Status struct {
+	Node NodeStatus `json:"node"`
+	// Control is empty when no replica answered; ControlError says why.
+	Control      *ControlStatus `json:"control,omitempty"`
+	ControlError string         `json:"controlError,omitempty"`
+}
+
+// ControlStatus is the fleet as one control replica sees it.
+type ControlStatus struct {
+	// AnsweredBy is the node of the answering replica.
+	AnsweredBy string `json:"answeredBy"`
+	Revision   uint64 `json:"revision"`
+	// Confirmed is true when a quorum confirmed the revision while answering.
+	Confirmed  bool           `json:"confirmed"`
+	Replicas   []Replica      `json:"replicas"`
+	RateOwners []RateOwner    `json:"rateOwners,omitempty"`
+	Nodes      []FleetNode    `json:"nodes,omitempty"`
+	Targets    []TargetStatus `json:"targets,omitempty"`
+}
+
+// Replica is one member of a replicated group.
+type Replica struct {
+	// Group 0 holds the configuration, the others shards of run records.
+	Group      uint32 `json:"group"`
+	ID         uint64 `json:"id"`
+	Node       string `json:"node"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	Role       string `json:"role"`
+	Term       uint64 `json:"term"`
+	// MatchIndex is the last index known to be synced at the replica.
+	MatchIndex  uint64 `json:"matchIndex"`
+	CommitIndex uint64 `json:"commitIndex"`
+	// HeardAgeMS is the time since the leader heard the replica, in milliseconds; -1 if not known.
+	HeardAgeMS int64 `json:"heardAgeMs"`
+}
+
+// RateOwner is the replica that owns one rate shard.
+type RateOwner struct {
+	Shard   uint32 `json:"shard"`
+	Replica uint64 `json:"replica"`
+	Address string `json:"address"`
+	Epoch   uint64 `json:"epoch"`
+}
+
+// FleetNode is a node as control hears it.
+type FleetNode struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	// Revision is the one in force at the node.
+	Revision uint64 `json:"revision"`
+	// HeardAgeMS is the time since control heard the node, in milliseconds.
+	HeardAgeMS int64 `json:"heardAgeMs"`
+	Leaving    bool  `json:"leaving"`
+}
+
+// TargetStatus is an announced target.
+type TargetStatus struct {
+	Service    string            `json:"service"`
+	Name       string            `json:"name"`
+	Node       string            `json:"node"`
+	DataCentre string            `json:"dataCentre"`
+	State      string            `json:"state"`
+	Slots      uint32            `json:"slots"`
+	Labels     map[string]string `json:"labels,omitempty"`
+}
+
+// controlStatus translates the message of control.
+func controlStatus(m *apiv1.ControlStatus) *ControlStatus {
+	s := &ControlStatus{AnsweredBy: m.GetReplica().GetNode(), Revision: m.GetRevision(), Confirmed: m.GetVouched()}
+	for _, g := range m.GetGroups() {
+		for _, r := range g.GetReplicas() {
+			s.Replicas = append(s.Replicas, replicaOf(g, r))
+		}
+	}
+	for _, o := range m.GetShardOwners() {
+		s.RateOwners = append(s.RateOwners, RateOwner{o.GetShard(), o.GetReplica(), o.GetAddress(), o.GetEpoch()})
+	}
+	for _, n := range m.GetNodes() {
+		s.Nodes = append(s.Nodes, FleetNode{
+			Name: n.GetNode(), Address: n.GetAddress(), DataCentre: n.GetDataCentre(), Revision: n.GetRevision(),
+			HeardAgeMS: milliseconds(n.GetAgeNs()), Leaving: n.GetLeaving(),
+		})
+	}
+	for _, t := range m.GetTargets() {
+		s.Targets = append(s.Targets, TargetStatus{
+			Service: t.GetService(), Name: t.GetName(), Node: t.GetNode(), DataCentre: t.GetDataCentre(),
+			State: enumName(t.GetState().String(), "TARGET_STATE_"), Slots: t.GetSlots(), Labels: t.GetLabels(),
+		})
+	}
+	s.sort()
+	return s
+}
+
+// replicaOf returns one member of a group.
+func replicaOf(g *apiv1.GroupStatus, r *apiv1.ReplicaStatus) Replica {
+	info := r.GetReplica()
+	return Replica{
+		Group: g.GetGroup(), ID: info.GetId(), Node: info.GetNode(), Address: info.GetAddress(), DataCentre: info.GetDataCentre(),
+		Role: enumName(r.GetRole().String(), "REPLICA_ROLE_"), Term: g.GetTerm(), MatchIndex: r.GetMatchIndex(),
+		CommitIndex: g.GetCommitIndex(), HeardAgeMS: milliseconds(r.GetAgeNs()),
+	}
+}
+
+// sort orders the lists, so that two answers can be compared.
+func (s *ControlStatus) sort() {
+	slices.SortFunc(s.Replicas, func(a, b Replica) int {
+		return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.ID, b.ID))
+	})
+	slices.SortFunc(s.Nodes, func(a, b FleetNode) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Targets, func(a, b TargetStatus) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Name, b.Name), strings.Compare(a.Node, b.Node))
+	})
+}
+
+// enumName returns the name of a protobuf value in lower case without its prefix.
+func enumName(name, prefix string) string {
+	return strings.ToLower(strings.TrimPrefix(name, prefix))
+}
+
+// milliseconds converts nanoseconds and keeps -1, which stands for "not known".
+func milliseconds(ns int64) int64 {
+	if ns < 0 {
+		return -1
+	}
+	return time.Duration(ns).Milliseconds()
+}
+
+// sortedKeys returns keys by number.
+func sortedKeys(keys map[uint64]Key) []Key {
+	all := make([]Key, 0, len(keys))
+	for _, k := range keys {
+		all = append(all, k)
+	}
+	slices.SortFunc(all, func(a, b Key) int { return cmp.Compare(a.Number, b.Number) })
+	return all
+}
--- a/internal/peer/incoming.go
+++ b/internal/peer/incoming.go
@@ -32,6 +32,7 @@
 	stream   net.Conn
 	buf      *frameBuffer
 	body     bodyReader
+	scoped   *scopedBody
 	out      bodyWriter
 	answered bool
 	closed   bool
@@ -49,7 +50,8 @@
 	in := &IncomingCall{Header: header, From: ss.remote, ctx: ctx, stream: stream, buf: newFrameBuffer()}
 	in.body.reset(reader)
 	in.out.reset()
-	in.Body = &in.body
+	in.scoped = &scopedBody{stream: stream, reader: &in.body}
+	in.Body = in.scoped
 	return in
 }
 
@@ -203,6 +205,7 @@
 		_ = in.Finish(0)
 	}
 	in.Abort()
+	in.scoped.end()
 	in.buf.release()
 	in.buf = nil
 }
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,54 @@
+// Package policy applies the operators' configuration to announced targets.
+package policy
+
+import (
+	"maps"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/admission"
+	"github.com/guavaford/guavaford/internal/blackboard"
+	"github.com/guavaford/guavaford/internal/board"
+	"github.com/guavaford/guavaford/internal/config"
+	"github.com/guavaford/guavaford/internal/registry"
+)
+
+// Of returns what applies to a target under a snapshot.
+func Of(s *config.Snapshot, t *registry.Target) config.TargetPolicy {
+	announced := make(labels.Set, len(t.Labels)+3)
+	maps.Copy(announced, t.Labels)
+	announced[config.LabelNode] = t.Node
+	announced[config.LabelDataCentre] = t.DataCentre
+	announced[config.LabelTarget] = t.Name
+	return s.TargetPolicy(t.Service, t.Name, announced, t.Slots)
+}
+
+// Effective returns the target as routing sees it: with the operators' labels, and
+// leaving while it is drained.
+func Effective(s *config.Snapshot, t *registry.Target) *registry.Target {
+	p := Of(s, t)
+	effective := *t
+	effective.Labels = p.Labels
+	effective.Slots = p.Slots
+	if p.Draining {
+		effective.State = apiv1.TargetState_TARGET_STATE_LEAVING
+	}
+	return &effective
+}
+
+// Admissions resolves the admission of the targets of a host from the configuration in force.
+type Admissions struct {
+	Configuration *blackboard.Section[board.Configuration]
+}
+
+// Admission returns the admission configuration of a target.
+func (a Admissions) Admission(t *registry.Target) admission.Config {
+	p := Of(a.Configuration.Load().Snapshot, t)
+	return admission.Config{Slots: p.Slots, ColdStart: p.ColdStart, Started: t.Started}
+}
+
+// Draining reports whether an operator drains the target.
+func (a Admissions) Draining(t *registry.Target) bool {
+	return Of(a.Configuration.Load().Snapshot, t).Draining
+}
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -109,11 +109,7 @@
 	next := &View{Services: maps.Clone(old.Services), Version: old.Version + 1}
 	for _, update := range resp.Services {
 		targets := mergeTargets(old.Services[update.Service], update)
-		if len(targets) == 0 {
-			delete(next.Services, update.Service)
-		} else {
-			next.Services[update.Service] = targets
-		}
+		next.Services[update.Service] = targets
 		if !update.Partial {
 			d.versions[update.Service] = update.Version
 		}
--- a/internal/registry/relay.go
+++ b/internal/registry/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -305,13 +306,17 @@
 	}
 }
 
+// absentVersion is the version of a service that has no targets yet. It differs from 0,
+// by which a node says that it knows nothing, so that the node learns of the absence.
+const absentVersion = math.MaxUint64
+
 func (r *Relay) updates(req *apiv1.SyncRequest) []*apiv1.ServiceUpdate {
 	sameSource := req.RegistrySource == r.Source()
 	var updates []*apiv1.ServiceUpdate
 	for _, held := range req.Services {
 		s := r.services[held.Service]
 		if s == nil {
-			s = &service{}
+			s = &service{version: absentVersion}
 		}
 		if r.warm && sameSource && held.Version == s.version {
 			continue
--- a/internal/registry/target.go
+++ b/internal/registry/target.go
@@ -87,7 +87,8 @@
 
 // View is an immutable set of targets.
 type View struct {
-	// Services holds the targets of each service, ordered by ID.
+	// Services holds the targets of each service, ordered by ID. A service without an entry is
+	// one that no replica has answered for yet.
 	Services map[string][]*Target
 	// Version counts the views of one Directory.
 	Version uint64
