Share the news about cutoffs between routes and organisations

Cause: a cutoff remembered for each route and organisation got so little news at each node that it aged out between requests, and each of them leaked work two or three calls deep. Change: an answer names the service that sheds, its level over all organisations and that of its own; a picker keeps the common level from all answers and an organisation's as an offset. Calls from a target are shed with a margin, since work was done for them. LoadReport.cutoff becomes a message; LowerCutoff, Load.Cutoff and Picker.Cutoff use it.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/outcome"
 )
 
@@ -11,6 +12,8 @@
 	// MaxQueueTime is the time for which a request may queue; a queue that drains in less
 	// time than that is never full.
 	MaxQueueTime = 100 * time.Millisecond
+	// defaultSlots bounds the limit of a target that announces no slots.
+	defaultSlots = 256
 	// coldShare is the share of the limit that a cold target takes at its start.
 	coldShare = 0.1
 	// floorQuantile is the quantile of the service time that a deadline must leave room
@@ -112,7 +115,7 @@
 
 // enqueue queues a request, or refuses it or a less important one.
 func (c *Core) enqueue(now time.Time, w *Waiter) Decision {
-	if cutoff := c.cutoff(w.Organisation); cutoff != 0 && w.Level >= cutoff {
+	if c.shed(now, &w.Request) {
 		return refuse(outcome.Overloaded, c.retryAfter(now), "the target sheds requests of this level")
 	}
 	wait := c.drainTime(now, c.queue.ahead(w.Priority)+1)
@@ -185,7 +188,7 @@
 		now:      now,
 		own:      max(held-res.Downstream, 0),
 		inFlight: c.inFlight,
-		slots:    c.config.Slots,
+		slots:    c.slots(),
 		kind:     res.Kind,
 	})
 }
@@ -224,12 +227,23 @@
 	}
 }
 
-// cutoff returns the first level of an organisation that is refused; 0 means none.
-func (c *Core) cutoff(organisation string) uint32 {
-	if c.variant.NoCutoffs {
-		return 0
+// cutoff returns the cutoff for answers to an organisation; nil means none.
+func (c *Core) cutoff(organisation string) *apiv1.Cutoff {
+	own, common := c.shedder.cutoffs(organisation)
+	if own == 0 || c.variant.NoCutoffs {
+		return nil
 	}
-	return c.shedder.cutoff(organisation)
+	return &apiv1.Cutoff{Service: c.config.Service, Common: common, Own: own}
+}
+
+// shed reports whether the cutoff refuses a request. Callers were told to shed at the entry,
+// so one that comes from a target, which has done work for it, is queued if there is room.
+func (c *Core) shed(now time.Time, r *Request) bool {
+	own, _ := c.shedder.cutoffs(r.Organisation)
+	if own == 0 || r.Level < own || c.variant.NoCutoffs {
+		return false
+	}
+	return r.Depth == 0 || c.queue.length >= c.queueCap(now)/2
 }
 
 // dispatch starts queued requests while slots are free.
@@ -269,7 +283,7 @@
 
 // limit returns how many requests may run now, cold start included.
 func (c *Core) limit(now time.Time) int {
-	limit := c.limiter.limit(c.config.Slots)
+	limit := c.limiter.limit(c.slots())
 	age := now.Sub(c.config.Started)
 	if c.config.ColdStart <= 0 || age >= c.config.ColdStart {
 		return limit
@@ -279,6 +293,14 @@
 	return max(int(math.Ceil(share*float64(limit))), 1)
 }
 
+// slots returns the bound of the limit.
+func (c *Core) slots() int {
+	if c.config.Slots <= 0 {
+		return defaultSlots
+	}
+	return c.config.Slots
+}
+
 // queueCap returns how many requests may queue: what drains within MaxQueueTime, and no less
 // than the chance fluctuation of as many requests as the limit.
 func (c *Core) queueCap(now time.Time) int {
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -25,7 +25,10 @@
 
 // Config describes the target of a gate.
 type Config struct {
-	// Slots that the target announces; the limit stays at or under it.
+	// Service that the target belongs to; named in cutoffs.
+	Service string
+	// Slots that the target announces; the limit stays at or under it. With 0 the limit
+	// starts at a default and finds its way.
 	Slots int
 	// ColdStart is the time from Started until the target takes its full load.
 	ColdStart time.Duration
@@ -56,8 +59,8 @@
 // Load is the state of a gate as it is reported to callers.
 type Load struct {
 	InFlight, Queued, Limit int
-	// Cutoff is the level from which requests of the organisation are refused; 0 means none.
-	Cutoff   uint32
+	// Cutoff is set while requests are shed.
+	Cutoff   *apiv1.Cutoff
 	Latency  time.Duration
 	Draining bool
 }
@@ -87,10 +90,10 @@
 	return uint32(clampPriority(priority))<<levelHashBits | hash
 }
 
-// LowerCutoff returns the stricter of two cutoffs, where 0 means none. A node folds the
+// LowerCutoff returns the stricter of two cutoffs, where nil means none. A node folds the
 // cutoffs that the sub-calls of a request met into the one on the answer of the request.
-func LowerCutoff(a, b uint32) uint32 {
-	if a == 0 || (b != 0 && b < a) {
+func LowerCutoff(a, b *apiv1.Cutoff) *apiv1.Cutoff {
+	if a == nil || (b != nil && b.GetOwn() < a.GetOwn()) {
 		return b
 	}
 	return a
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -47,8 +47,10 @@
 	// target is the number of requests a second to admit; 0 while nothing is shed.
 	target   float64
 	marginal int
-	demands  []*demand
-	byName   map[string]*demand
+	// common is the cutoff over all organisations together.
+	common  uint32
+	demands []*demand
+	byName  map[string]*demand
 }
 
 // demand is what one organisation asks of the target.
@@ -104,15 +106,15 @@
 	return d
 }
 
-// cutoff returns the first level of an organisation that is refused; 0 means none.
-func (s *shedder) cutoff(organisation string) uint32 {
+// cutoffs returns the first refused level of an organisation and over all; 0 means none.
+func (s *shedder) cutoffs(organisation string) (own, common uint32) {
 	if s.target == 0 {
-		return 0
+		return 0, 0
 	}
 	if d := s.byName[organisation]; d != nil {
-		return d.cutoff
+		return d.cutoff, s.common
 	}
-	return levelAt(s.marginal+1, 0)
+	return levelAt(s.marginal+1, 0), s.common
 }
 
 // due reports whether the current window is complete.
@@ -241,6 +243,7 @@
 // that none gets more than it wants, and sets their cutoffs.
 func (s *shedder) share(priority int, rate float64) {
 	s.marginal = priority
+	s.common = max(levelAt(priority, min(rate/max(s.total(priority), 1e-9), 1)), 1)
 	perWeight := s.fairShare(priority, rate)
 	for _, d := range s.demands {
 		d.fraction = 1
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -120,7 +120,7 @@
 	t := &fakeTarget{run: r, service: s, slots: s.Slots, record: record, slow: 1}
 	r.targets[record.ID()] = t
 	r.order = append(r.order, t)
-	r.gates[record.ID()] = r.newGate(admission.Config{Slots: s.Slots})
+	r.gates[record.ID()] = r.newGate(admission.Config{Service: s.Name, Slots: s.Slots})
 	beside := &node{dataCentre: record.DataCentre}
 	r.nodes = append(r.nodes, beside)
 	r.beside[record.ID()] = beside
--- a/internal/route/cutoffs.go
+++ b/internal/route/cutoffs.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
 
 const (
@@ -11,44 +13,101 @@
 	// rises until nothing is shed.
 	cutoffHold = 250 * time.Millisecond
 	cutoffRamp = time.Second
+	// cutoffSmoothing is the weight of one answer, of the many targets of a service, as a
+	// divisor.
+	cutoffSmoothing = 8
+	// offsetLife is how long the difference of an organisation's cutoff counts.
+	offsetLife = 10 * time.Second
+	// investedMargin is how far a request that has had work done for it must be above a
+	// cutoff to be shed: a quarter of a class.
+	investedMargin = 1 << 22
 	// maxLevel is above every shedding level.
 	maxLevel = 1 << 28
-	// maxCutoffs bounds the cutoffs that a picker remembers.
-	maxCutoffs = 4096
+	// maxCells bounds the routes, services and organisations that are remembered.
+	maxCells = 4096
 )
 
-// cutoffKey names the requests that share a cutoff.
-type cutoffKey struct {
-	route        string
-	organisation string
+// cutoffs remembers which service sheds requests of each route, and from which level.
+//
+// News about a service comes with every answer that passed it, whatever its route and
+// organisation, so a level stays fresh while anything is answered. An organisation's own
+// level is kept as an offset, which changes slowly and may be older.
+type cutoffs struct {
+	routes   cells[routeCell]
+	services cells[serviceCell]
 }
 
-// cutoffCell holds one cutoff and the time of the last news about it.
-type cutoffCell struct {
-	level atomic.Uint32
-	newNs atomic.Int64
+// routeCell names the service that last shed requests of a route.
+type routeCell struct {
+	service atomic.Pointer[serviceCell]
 }
 
-// cutoffs remembers the cutoffs that answers carried. Reading takes no lock.
-type cutoffs struct {
-	cells atomic.Pointer[map[cutoffKey]*cutoffCell]
-	mu    sync.Mutex
+// serviceCell holds the common level of one service; times are nanoseconds since the picker
+// was made.
+type serviceCell struct {
+	level   atomic.Uint32
+	newNs   atomic.Int64
+	name    string
+	offsets cells[offsetCell]
+}
+
+// offsetCell holds the difference of one organisation's level from the common one.
+type offsetCell struct {
+	offset atomic.Int64
+	newNs  atomic.Int64
 }
 
 // newCutoffs returns an empty memory.
 func newCutoffs() *cutoffs {
-	c := &cutoffs{}
-	c.cells.Store(&map[cutoffKey]*cutoffCell{})
-	return c
+	return &cutoffs{}
 }
 
-// at returns the cutoff in force; 0 means none.
-func (c *cutoffs) at(now int64, key cutoffKey) uint32 {
-	cell := (*c.cells.Load())[key]
-	if cell == nil {
-		return 0
+// at returns the cutoff in force for a route and organisation, and the service that set it;
+// own is 0 when there is none.
+func (c *cutoffs) at(now int64, route, organisation string) (own, common uint32, service string) {
+	r := c.routes.get(route)
+	if r == nil {
+		return 0, 0, ""
+	}
+	s := r.service.Load()
+	common = agedCutoff(s.level.Load(), time.Duration(now-s.newNs.Load()))
+	if common == 0 {
+		return 0, 0, ""
+	}
+	offset := int64(0)
+	if o := s.offsets.get(organisation); o != nil && now-o.newNs.Load() <= int64(offsetLife) {
+		offset = o.offset.Load()
+	}
+	return uint32(max(int64(common)+offset, 1)), common, s.name
+}
+
+// observe takes the cutoff that an answer carried.
+func (c *cutoffs) observe(now int64, route, organisation string, cutoff *apiv1.Cutoff) {
+	if cutoff == nil {
+		return
+	}
+	name := cutoff.GetService()
+	s := c.services.getOrAdd(name, func() *serviceCell { return &serviceCell{name: name} })
+	s.observe(now, cutoff.GetCommon())
+	r := c.routes.getOrAdd(route, func() *routeCell {
+		r := &routeCell{}
+		r.service.Store(s)
+		return r
+	})
+	r.service.Store(s)
+	o := s.offsets.getOrAdd(organisation, func() *offsetCell { return &offsetCell{} })
+	o.offset.Store(int64(cutoff.GetOwn()) - int64(cutoff.GetCommon()))
+	o.newNs.Store(now)
+}
+
+// observe smooths the common level. Concurrent updates may lose one.
+func (s *serviceCell) observe(now int64, level uint32) {
+	old := s.level.Load()
+	if old != 0 && now-s.newNs.Load() <= int64(cutoffHold) {
+		level = uint32(int64(old) + (int64(level)-int64(old))/cutoffSmoothing)
 	}
-	return agedCutoff(cell.level.Load(), time.Duration(now-cell.newNs.Load()))
+	s.level.Store(level)
+	s.newNs.Store(now)
 }
 
 // agedCutoff returns a cutoff whose last news is age old.
@@ -63,37 +122,38 @@
 	return level + uint32(ramp*ramp*float64(maxLevel-min(level, maxLevel)))
 }
 
-// observe takes the cutoff that an answer carried.
-func (c *cutoffs) observe(now int64, key cutoffKey, level uint32) {
-	cell := (*c.cells.Load())[key]
-	if cell == nil {
-		if level == 0 {
-			return
-		}
-		cell = c.add(now, key)
+// cells is a map that is read without a lock and copied when a name is added.
+type cells[T any] struct {
+	current atomic.Pointer[map[string]*T]
+	mu      sync.Mutex
+}
+
+// get returns the cell of a name, or nil.
+func (c *cells[T]) get(name string) *T {
+	if m := c.current.Load(); m != nil {
+		return (*m)[name]
 	}
-	cell.level.Store(level)
-	cell.newNs.Store(now)
+	return nil
 }
 
-// add makes a cell. A full memory first drops the cells whose cutoffs have aged out.
-func (c *cutoffs) add(now int64, key cutoffKey) *cutoffCell {
+// getOrAdd returns the cell of a name, made by init if missing. A full map starts anew.
+func (c *cells[T]) getOrAdd(name string, init func() *T) *T {
+	if cell := c.get(name); cell != nil {
+		return cell
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := *c.cells.Load()
-	if cell := old[key]; cell != nil {
+	if cell := c.get(name); cell != nil {
 		return cell
 	}
-	cells := make(map[cutoffKey]*cutoffCell, len(old)+1)
-	for k, cell := range old {
-		if len(old) < maxCutoffs || c.at(now, k) != 0 {
-			cells[k] = cell
+	next := make(map[string]*T)
+	if old := c.current.Load(); old != nil && len(*old) < maxCells {
+		for k, cell := range *old {
+			next[k] = cell
 		}
 	}
-	cell := &cutoffCell{}
-	if len(cells) < maxCutoffs {
-		cells[key] = cell
-	}
-	c.cells.Store(&cells)
+	cell := init()
+	next[name] = cell
+	c.current.Store(&next)
 	return cell
 }
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -50,6 +50,9 @@
 	Organisation string
 	// Level is the shedding level of the whole request.
 	Level uint32
+	// Depth is the number of calls above this one. A call from a target is shed later than
+	// one from a caller, since work was done for it.
+	Depth int
 }
 
 // Kind says how a call ended, as its caller saw it.
@@ -150,8 +153,7 @@
 // Pick chooses a target, or refuses the call as not run. Each Choice must be closed by Done.
 func (p *Picker) Pick(q Query) (Choice, *outcome.Refusal) {
 	now := p.now()
-	key := cutoffKey{route: q.Route, organisation: q.Organisation}
-	if cutoff := p.cutoffs.at(now, key); cutoff != 0 && q.Level >= cutoff {
+	if p.sheds(now, &q) {
 		return Choice{}, &outcome.Refusal{
 			Code: outcome.Overloaded, Ran: outcome.RanNo, RetryAfter: shedRetryAfter,
 			Detail: "requests of this level are shed",
@@ -168,13 +170,29 @@
 		}
 	}
 	e.inFlight.Add(1)
-	return Choice{picker: p, entry: *e, key: key}, nil
+	return Choice{picker: p, entry: *e, route: q.Route, organisation: q.Organisation}, nil
 }
 
-// Cutoff returns the cutoff in force for requests of a route and organisation; 0 means none.
-// A node folds it into the answers of requests whose sub-calls use this service.
-func (p *Picker) Cutoff(route, organisation string) uint32 {
-	return p.cutoffs.at(p.now(), cutoffKey{route: route, organisation: organisation})
+// sheds reports whether the cutoff in force refuses a call.
+func (p *Picker) sheds(now int64, q *Query) bool {
+	cutoff, _, _ := p.cutoffs.at(now, q.Route, q.Organisation)
+	if cutoff == 0 {
+		return false
+	}
+	if q.Depth > 0 {
+		cutoff += investedMargin
+	}
+	return q.Level >= cutoff
+}
+
+// Cutoff returns the cutoff in force for requests of a route and organisation; nil means
+// none. A node folds it into the answers of requests whose sub-calls use this service.
+func (p *Picker) Cutoff(route, organisation string) *apiv1.Cutoff {
+	own, common, service := p.cutoffs.at(p.now(), route, organisation)
+	if own == 0 {
+		return nil
+	}
+	return &apiv1.Cutoff{Service: service, Common: common, Own: own}
 }
 
 // choose returns the best of the targets drawn, or nil. The second pass takes ejected ones.
@@ -270,9 +288,10 @@
 
 // Choice is a picked target. Done must be called once.
 type Choice struct {
-	picker *Picker
-	entry  entry
-	key    cutoffKey
+	picker       *Picker
+	entry        entry
+	route        string
+	organisation string
 }
 
 // Target returns the chosen target.
@@ -289,7 +308,7 @@
 	defer m.mu.Unlock()
 	if o.Load != nil {
 		m.observeLoad(now, o.Load)
-		p.cutoffs.observe(now, c.key, o.Load.GetCutoff())
+		p.cutoffs.observe(now, c.route, c.organisation, o.Load.GetCutoff())
 	}
 	at := p.origin.Add(time.Duration(now))
 	switch o.Kind {
