Steer the cutoff by capacity and queue, and share its news among a node's pickers

Cause: stepping the admitted demand up and down followed the noise of single windows and admitted too little; one slow target's cutoff shed for the whole service; each picker learned on its own. Change: admitted demand = smoothed completions, corrected to hold the queue at a fifth of its bound; every answer carries a cutoff, so that targets which shed nothing count too, and the highest weighs most; pickers of a node share route.Cutoffs (Config.Cutoffs); a request may queue for 250 ms while the queue is sized to drain in 100 ms.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// MaxQueueTime is the time for which a request may queue; a queue that drains in less
-	// time than that is never full.
-	MaxQueueTime = 100 * time.Millisecond
+	// MaxQueueTime is the time for which a request may queue.
+	MaxQueueTime = 250 * time.Millisecond
+	// queueDrainTime is the time in which a full queue drains.
+	queueDrainTime = 100 * time.Millisecond
 	// defaultSlots bounds the limit of a target that announces no slots.
 	defaultSlots = 256
 	// coldShare is the share of the limit that a cold target takes at its start.
@@ -115,7 +116,7 @@
 
 // enqueue queues a request, or refuses it or a less important one.
 func (c *Core) enqueue(now time.Time, w *Waiter) Decision {
-	if c.shed(now, &w.Request) {
+	if c.shed(&w.Request) {
 		return refuse(outcome.Overloaded, c.retryAfter(now), "the target sheds requests of this level")
 	}
 	wait := c.drainTime(now, c.queue.ahead(w.Priority)+1)
@@ -227,23 +228,20 @@
 	}
 }
 
-// cutoff returns the cutoff for answers to an organisation; nil means none.
+// cutoff returns the cutoff for answers to an organisation.
 func (c *Core) cutoff(organisation string) *apiv1.Cutoff {
-	own, common := c.shedder.cutoffs(organisation)
-	if own == 0 || c.variant.NoCutoffs {
+	if c.variant.NoCutoffs {
 		return nil
 	}
+	own, common := c.shedder.cutoffs(organisation)
 	return &apiv1.Cutoff{Service: c.config.Service, Common: common, Own: own}
 }
 
-// shed reports whether the cutoff refuses a request. Callers were told to shed at the entry,
-// so one that comes from a target, which has done work for it, is queued if there is room.
-func (c *Core) shed(now time.Time, r *Request) bool {
+// shed reports whether the cutoff refuses a request. One that comes from a target, which has
+// done work for it, is left to the order of the queue.
+func (c *Core) shed(r *Request) bool {
 	own, _ := c.shedder.cutoffs(r.Organisation)
-	if own == 0 || r.Level < own || c.variant.NoCutoffs {
-		return false
-	}
-	return r.Depth == 0 || c.queue.length >= c.queueCap(now)/2
+	return r.Depth == 0 && r.Level >= own && !c.variant.NoCutoffs
 }
 
 // dispatch starts queued requests while slots are free.
@@ -301,7 +299,7 @@
 	return c.config.Slots
 }
 
-// queueCap returns how many requests may queue: what drains within MaxQueueTime, and no less
+// queueCap returns how many requests may queue: what drains within queueDrainTime, and no less
 // than the chance fluctuation of as many requests as the limit.
 func (c *Core) queueCap(now time.Time) int {
 	limit := float64(c.limit(now))
@@ -310,7 +308,7 @@
 	if hold <= 0 {
 		return int(max(limit, fluctuation))
 	}
-	return int(max(limit*float64(MaxQueueTime)/float64(hold), fluctuation))
+	return int(max(limit*float64(queueDrainTime)/float64(hold), fluctuation))
 }
 
 // drainTime returns the expected time until n queued requests have started.
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -59,7 +59,7 @@
 // Load is the state of a gate as it is reported to callers.
 type Load struct {
 	InFlight, Queued, Limit int
-	// Cutoff is set while requests are shed.
+	// Cutoff tells from which level requests are refused.
 	Cutoff   *apiv1.Cutoff
 	Latency  time.Duration
 	Draining bool
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -9,23 +9,25 @@
 	// shedWindowMax ends it with fewer.
 	shedWindowArrivals = 20
 	shedWindowMax      = 500 * time.Millisecond
-	// shedTolerance is the share of arrivals refused by the queue that counts as overload.
-	shedTolerance = 0.01
+	// shedMinRefused and shedTolerance are the number and the share of arrivals refused by
+	// the queue in a window that turn shedding on.
+	shedMinRefused = 3
+	shedTolerance  = 0.02
 	// shedDemandGain is the weight of a window in the smoothed demand.
 	shedDemandGain = 0.5
 	// shedMinFraction is the smallest admitted share from which demand is extrapolated.
 	shedMinFraction = 0.02
 	// shedDemandDecay is the factor for demand that is wholly shed, and thus unseen.
 	shedDemandDecay = 0.9
-	// shedCapacityGain is the weight of a window in the smoothed capacity.
-	shedCapacityGain = 0.3
-	// shedBackoff is the share of the capacity that is admitted while the queue refuses.
-	shedBackoff = 0.97
-	// shedProbe is the growth of admitted demand in a window without refusals.
-	shedProbe = 1.05
-	// shedProbeMax bounds the growth in a window in which slots stayed idle.
+	// shedCapacitySeconds is the time constant of the smoothed capacity.
+	shedCapacitySeconds = 1.0
+	// shedQueue is the queue length to steer to, as a share of its bound, and shedGain the
+	// correction of the admitted demand for a deviation of the whole bound.
+	shedQueue = 0.2
+	shedGain  = 0.3
+	// shedProbeMax bounds the growth of the capacity in a window in which slots stayed idle.
 	shedProbeMax = 1.5
-	// shedIdle is the use of the slots under which growth follows the idle share.
+	// shedIdle is the use of the slots under which the capacity counts as not reached.
 	shedIdle = 0.95
 	// shedOffMargin is the ratio of admitted to wanted demand from which shedding ends.
 	shedOffMargin = 1.2
@@ -47,6 +49,8 @@
 	// target is the number of requests a second to admit; 0 while nothing is shed.
 	target   float64
 	marginal int
+	// lowest is the least important class seen.
+	lowest int
 	// common is the cutoff over all organisations together.
 	common  uint32
 	demands []*demand
@@ -90,6 +94,7 @@
 	d.weight = r.weight()
 	d.seen = now
 	s.arrivals++
+	s.lowest = max(s.lowest, clampPriority(r.Priority))
 	if d.cutoff == 0 || r.Level < d.cutoff {
 		d.counted[clampPriority(r.Priority)]++
 	}
@@ -106,10 +111,12 @@
 	return d
 }
 
-// cutoffs returns the first refused level of an organisation and over all; 0 means none.
+// cutoffs returns the first refused level of an organisation and over all. While nothing is
+// shed both are above the levels of all requests seen.
 func (s *shedder) cutoffs(organisation string) (own, common uint32) {
 	if s.target == 0 {
-		return 0, 0
+		open := levelAt(s.lowest+1, 0)
+		return open, open
 	}
 	if d := s.byName[organisation]; d != nil {
 		return d.cutoff, s.common
@@ -127,22 +134,28 @@
 func (s *shedder) roll(now time.Time, use gateUse) {
 	elapsed := now.Sub(s.start).Seconds()
 	s.estimate(now, elapsed)
-	overloaded := float64(s.refused) > shedTolerance*float64(s.arrivals)
-	if overloaded || use.inFlight >= use.limit {
-		s.observeCapacity(float64(s.finished) / elapsed)
-	}
+	overloaded := s.refused >= shedMinRefused && float64(s.refused) > shedTolerance*float64(s.arrivals)
+	s.observeCapacity(elapsed, use)
 	s.steer(overloaded, use)
 	s.setCutoffs()
 	s.start, s.arrivals, s.refused, s.finished = now, 0, 0, 0
 }
 
-// observeCapacity smooths the completions of a busy window.
-func (s *shedder) observeCapacity(finished float64) {
-	if s.capacity == 0 {
+// observeCapacity smooths the completions of a window. Slots that stayed idle show that the
+// target could have finished more.
+func (s *shedder) observeCapacity(elapsed float64, use gateUse) {
+	finished := float64(s.finished) / elapsed
+	used := float64(use.inFlight) / float64(use.limit)
+	if s.target == 0 || s.capacity == 0 {
 		s.capacity = finished
 		return
 	}
-	s.capacity += shedCapacityGain * (finished - s.capacity)
+	if used < shedIdle {
+		s.capacity *= min(shedIdle/max(used, 0.01), shedProbeMax)
+		return
+	}
+	gain := min(elapsed/shedCapacitySeconds, 1)
+	s.capacity += gain * (finished - s.capacity)
 }
 
 // estimate turns the counts of the window into demand, and forgets idle organisations.
@@ -186,23 +199,14 @@
 	d.wanted[priority] += shedDemandGain * (seen - d.wanted[priority])
 }
 
-// steer moves the admitted demand towards what the target can finish.
+// steer sets the admitted demand to what the target finishes, corrected such that the queue
+// comes to its reference length: full enough to keep the slots busy, with room for chance.
 func (s *shedder) steer(overloaded bool, use gateUse) {
-	switch {
-	case overloaded && s.target == 0:
-		s.target = s.capacity
-	case overloaded:
-		s.target = min(s.target, s.capacity) * shedBackoff
-	case s.target > 0 && use.queued <= use.queueCap/4:
-		growth := shedProbe
-		if used := float64(use.inFlight) / float64(use.limit); used < shedIdle {
-			growth = min(max(shedIdle/max(used, 0.01), shedProbe), shedProbeMax)
-		}
-		s.target *= growth
-	}
-	if overloaded {
-		s.target = max(s.target, 1)
+	if !overloaded && s.target == 0 {
+		return
 	}
+	fill := float64(use.queued) / float64(max(use.queueCap, 1))
+	s.target = max(s.capacity*(1+shedGain*(shedQueue-fill)), 1)
 }
 
 // total returns the demand of a class over all organisations.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -141,9 +141,11 @@
 // addPickers gives a node a picker and a budget for each service.
 func (r *run) addPickers(n *node, number uint64) {
 	n.pickers = make(map[string]picker)
+	cfg := r.policy.Route
+	cfg.Cutoffs = route.NewCutoffs(r.sim)
 	n.budgets = make(map[string]*retry.Budget)
 	for i, s := range r.deployment.Services {
-		p := route.NewPicker(r.policy.Route, n.dataCentre, r.sim, number*100+uint64(i))
+		p := route.NewPicker(cfg, n.dataCentre, r.sim, number*100+uint64(i))
 		n.pickers[s.Name] = p
 		if !r.policy.Routing {
 			n.pickers[s.Name] = &randomPicker{Picker: p, random: r.random}
--- a/internal/route/cutoffs.go
+++ b/internal/route/cutoffs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 )
 
 const (
@@ -13,9 +14,11 @@
 	// rises until nothing is shed.
 	cutoffHold = 250 * time.Millisecond
 	cutoffRamp = time.Second
-	// cutoffSmoothing is the weight of one answer, of the many targets of a service, as a
-	// divisor.
-	cutoffSmoothing = 8
+	// cutoffRise and cutoffFall are the weights of one answer, as divisors, when it carries
+	// a higher or a lower level. Levels of the targets of a service differ, and a request is
+	// to pass if one of them takes it, so the highest counts most.
+	cutoffRise = 2
+	cutoffFall = 8
 	// offsetLife is how long the difference of an organisation's cutoff counts.
 	offsetLife = 10 * time.Second
 	// investedMargin is how far a request that has had work done for it must be above a
@@ -27,12 +30,14 @@
 	maxCells = 4096
 )
 
-// cutoffs remembers which service sheds requests of each route, and from which level.
+// Cutoffs remembers which service sheds requests of each route, and from which level.
 //
 // News about a service comes with every answer that passed it, whatever its route and
 // organisation, so a level stays fresh while anything is answered. An organisation's own
 // level is kept as an offset, which changes slowly and may be older.
-type cutoffs struct {
+type Cutoffs struct {
+	clock    clock.Clock
+	origin   time.Time
 	routes   cells[routeCell]
 	services cells[serviceCell]
 }
@@ -42,7 +47,7 @@
 	service atomic.Pointer[serviceCell]
 }
 
-// serviceCell holds the common level of one service; times are nanoseconds since the picker
+// serviceCell holds the common level of one service; times are nanoseconds since the memory
 // was made.
 type serviceCell struct {
 	level   atomic.Uint32
@@ -57,18 +62,24 @@
 	newNs  atomic.Int64
 }
 
-// newCutoffs returns an empty memory.
-func newCutoffs() *cutoffs {
-	return &cutoffs{}
+// NewCutoffs returns an empty memory.
+func NewCutoffs(clk clock.Clock) *Cutoffs {
+	return &Cutoffs{clock: clk, origin: clk.Now()}
+}
+
+// now returns the time since the memory was made.
+func (c *Cutoffs) now() int64 {
+	return int64(c.clock.Now().Sub(c.origin))
 }
 
 // at returns the cutoff in force for a route and organisation, and the service that set it;
 // own is 0 when there is none.
-func (c *cutoffs) at(now int64, route, organisation string) (own, common uint32, service string) {
+func (c *Cutoffs) at(route, organisation string) (own, common uint32, service string) {
 	r := c.routes.get(route)
 	if r == nil {
 		return 0, 0, ""
 	}
+	now := c.now()
 	s := r.service.Load()
 	common = agedCutoff(s.level.Load(), time.Duration(now-s.newNs.Load()))
 	if common == 0 {
@@ -82,10 +93,11 @@
 }
 
 // observe takes the cutoff that an answer carried.
-func (c *cutoffs) observe(now int64, route, organisation string, cutoff *apiv1.Cutoff) {
+func (c *Cutoffs) observe(route, organisation string, cutoff *apiv1.Cutoff) {
 	if cutoff == nil {
 		return
 	}
+	now := c.now()
 	name := cutoff.GetService()
 	s := c.services.getOrAdd(name, func() *serviceCell { return &serviceCell{name: name} })
 	s.observe(now, cutoff.GetCommon())
@@ -104,7 +116,11 @@
 func (s *serviceCell) observe(now int64, level uint32) {
 	old := s.level.Load()
 	if old != 0 && now-s.newNs.Load() <= int64(cutoffHold) {
-		level = uint32(int64(old) + (int64(level)-int64(old))/cutoffSmoothing)
+		weight := int64(cutoffFall)
+		if level > old {
+			weight = cutoffRise
+		}
+		level = uint32(int64(old) + (int64(level)-int64(old))/weight)
 	}
 	s.level.Store(level)
 	s.newNs.Store(now)
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -32,6 +32,8 @@
 	// MaxEjected is the largest share of targets ejected at a time; unless it is 0, one of
 	// several targets may always be ejected.
 	MaxEjected float64
+	// Cutoffs is shared by the pickers of a node; nil gives the picker its own.
+	Cutoffs *Cutoffs
 }
 
 // DefaultConfig returns the settings of a node.
@@ -89,7 +91,7 @@
 	seed       uint64
 	draws      atomic.Uint64
 	table      atomic.Pointer[table]
-	cutoffs    *cutoffs
+	cutoffs    *Cutoffs
 	// latencyNs is the smoothed latency over all targets.
 	latencyNs atomic.Int64
 
@@ -111,7 +113,10 @@
 
 // NewPicker returns a picker without targets. Picks with equal seeds and events are equal.
 func NewPicker(cfg Config, dataCentre string, clk clock.Clock, seed uint64) *Picker {
-	p := &Picker{config: cfg, dataCentre: dataCentre, clock: clk, origin: clk.Now(), seed: seed, cutoffs: newCutoffs()}
+	p := &Picker{config: cfg, dataCentre: dataCentre, clock: clk, origin: clk.Now(), seed: seed, cutoffs: cfg.Cutoffs}
+	if p.cutoffs == nil {
+		p.cutoffs = NewCutoffs(clk)
+	}
 	p.table.Store(&table{})
 	return p
 }
@@ -153,7 +158,7 @@
 // Pick chooses a target, or refuses the call as not run. Each Choice must be closed by Done.
 func (p *Picker) Pick(q Query) (Choice, *outcome.Refusal) {
 	now := p.now()
-	if p.sheds(now, &q) {
+	if p.sheds(&q) {
 		return Choice{}, &outcome.Refusal{
 			Code: outcome.Overloaded, Ran: outcome.RanNo, RetryAfter: shedRetryAfter,
 			Detail: "requests of this level are shed",
@@ -174,8 +179,8 @@
 }
 
 // sheds reports whether the cutoff in force refuses a call.
-func (p *Picker) sheds(now int64, q *Query) bool {
-	cutoff, _, _ := p.cutoffs.at(now, q.Route, q.Organisation)
+func (p *Picker) sheds(q *Query) bool {
+	cutoff, _, _ := p.cutoffs.at(q.Route, q.Organisation)
 	if cutoff == 0 {
 		return false
 	}
@@ -188,7 +193,7 @@
 // Cutoff returns the cutoff in force for requests of a route and organisation; nil means
 // none. A node folds it into the answers of requests whose sub-calls use this service.
 func (p *Picker) Cutoff(route, organisation string) *apiv1.Cutoff {
-	own, common, service := p.cutoffs.at(p.now(), route, organisation)
+	own, common, service := p.cutoffs.at(route, organisation)
 	if own == 0 {
 		return nil
 	}
@@ -308,7 +313,7 @@
 	defer m.mu.Unlock()
 	if o.Load != nil {
 		m.observeLoad(now, o.Load)
-		p.cutoffs.observe(now, c.route, c.organisation, o.Load.GetCutoff())
+		p.cutoffs.observe(c.route, c.organisation, o.Load.GetCutoff())
 	}
 	at := p.origin.Add(time.Duration(now))
 	switch o.Kind {
