Pass cutoff messages through dispatch and call records

Cause: cutoffs became messages that name the service and the common level. Change: callctx folds *apiv1.Cutoff; dispatch shares route.Cutoffs among its pickers and passes the depth; policy names the service; a 503 of a target that waited for sub-calls doesn't count as a rejection of its own.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -184,6 +184,11 @@
 		c.learnFloor(held)
 	case TimedOut, Cancelled:
 		c.hold.atLeast(now, held)
+	case Rejected:
+		if res.Downstream > 0 {
+			// The target passes on what a sub-call met.
+			res.Kind = Failure
+		}
 	}
 	c.limiter.sample(limitSample{
 		now:      now,
--- a/internal/callctx/origin.go
+++ b/internal/callctx/origin.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/retry"
 )
 
@@ -35,7 +36,7 @@
 	// KeyNumber is the sequence number of the caller's key; 0 on routes open to all.
 	KeyNumber uint64
 	// Fold takes the cutoffs of services that sub-calls used; nil at the root.
-	Fold func(cutoff uint32)
+	Fold func(cutoff *apiv1.Cutoff)
 }
 
 // Keyed reports whether the request came with a key.
--- a/internal/callctx/running.go
+++ b/internal/callctx/running.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/admission"
 )
 
@@ -18,18 +19,18 @@
 	active     int
 	since      time.Time
 	downstream time.Duration
-	cutoff     uint32
+	cutoff     *apiv1.Cutoff
 }
 
-// FoldCutoff notes the cutoff of a service that a sub-call used; 0 means none.
-func (r *Running) FoldCutoff(cutoff uint32) {
+// FoldCutoff notes the cutoff of a service that a sub-call used; nil means none.
+func (r *Running) FoldCutoff(cutoff *apiv1.Cutoff) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cutoff = admission.LowerCutoff(r.cutoff, cutoff)
 }
 
-// Cutoff returns the strictest cutoff of the services that sub-calls used; 0 means none.
-func (r *Running) Cutoff() uint32 {
+// Cutoff returns the strictest cutoff of the services that sub-calls used; nil means none.
+func (r *Running) Cutoff() *apiv1.Cutoff {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.cutoff
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -63,6 +63,7 @@
 		Accept:       c.accepts,
 		Exclude:      c.tried,
 		Level:        origin.Level,
+		Depth:        origin.Depth,
 		Route:        origin.Route,
 		Organisation: origin.Organisation,
 	})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,6 +66,8 @@
 type Dispatcher struct {
 	o        Options
 	sequence atomic.Uint64
+	// cutoffs is shared by the pickers of all services.
+	cutoffs *route.Cutoffs
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -82,7 +84,7 @@
 
 // New returns a dispatcher that knows no service yet.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{o: o, services: make(map[string]*service)}
+	return &Dispatcher{o: o, cutoffs: route.NewCutoffs(o.Clock), services: make(map[string]*service)}
 }
 
 // Run passes changes of the registry and of the configuration on to the pickers until ctx ends.
@@ -136,8 +138,10 @@
 	if s, ok = d.services[name]; ok {
 		return s
 	}
+	cfg := route.DefaultConfig()
+	cfg.Cutoffs = d.cutoffs
 	s = &service{
-		picker: route.NewPicker(route.DefaultConfig(), d.o.DataCentre, d.o.Clock, rand.Uint64()),
+		picker: route.NewPicker(cfg, d.o.DataCentre, d.o.Clock, rand.Uint64()),
 		budget: retry.NewBudget(retry.DefaultBudgetRatio, retry.DefaultBudgetBurst),
 		known:  make(chan struct{}),
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -45,7 +45,7 @@
 // Admission returns the admission configuration of a target.
 func (a Admissions) Admission(t *registry.Target) admission.Config {
 	p := Of(a.Configuration.Load().Snapshot, t)
-	return admission.Config{Slots: p.Slots, ColdStart: p.ColdStart, Started: t.Started}
+	return admission.Config{Service: t.Service, Slots: p.Slots, ColdStart: p.ColdStart, Started: t.Started}
 }
 
 // Draining reports whether an operator drains the target.
