--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -100,10 +100,14 @@
 }
 
 func (s *RateSpec) check(report func(field, format string, args ...any)) {
-	if !(s.PerSecond > 0 && s.PerSecond <= MaxPerSecond) {
+	if s.PerSecond == 0 {
+		report("perSecond", "is required; allowed: above 0, at most %d", MaxPerSecond)
+	} else if !(s.PerSecond > 0 && s.PerSecond <= MaxPerSecond) {
 		report("perSecond", "%v is out of range; allowed: above 0, at most %d", s.PerSecond, MaxPerSecond)
 	}
-	if !(s.Burst >= 1 && s.Burst <= MaxPerSecond) || s.Burst != math.Trunc(s.Burst) {
+	if s.Burst == 0 {
+		report("burst", "is required; allowed: a whole number from 1 to %d", MaxPerSecond)
+	} else if !(s.Burst >= 1 && s.Burst <= MaxPerSecond) || s.Burst != math.Trunc(s.Burst) {
 		report("burst", "%v is out of range; allowed: a whole number from 1 to %d", s.Burst, MaxPerSecond)
 	}
 }
@@ -203,7 +207,7 @@
 type TargetSpec struct {
 	// Service names the service of the targets.
 	Service string `json:"service" yaml:"service"`
-	// Target is the name of one target. Exactly one of Target and Selector is given.
+	// Target is the name of one target. Without Target and Selector, the document is for all targets of the service.
 	Target string `json:"target,omitempty" yaml:"target"`
 	// Selector chooses targets by the labels that they announced.
 	Selector Selector `json:"selector,omitzero" yaml:"selector"`
@@ -223,8 +227,8 @@
 	if s.Service == "" {
 		report("service", "is required; * stands for every service")
 	}
-	if (s.Target == "") == s.Selector.Empty() {
-		report("selector", "exactly one of target and selector is required")
+	if s.Target != "" && !s.Selector.Empty() {
+		report("selector", "give at most one of target and selector")
 	}
 	for _, fault := range labelFaults(s.Labels) {
 		report("labels", "%s", fault)
--- a/internal/config/target.go
+++ b/internal/config/target.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -34,13 +35,22 @@
 	return &targetDocument{name: d.name, spec: d.spec}
 }
 
-// compareTargetDocuments puts documents by selector before those by name, so that
-// the latter have the last word, and orders each by document name.
+// compareTargetDocuments puts documents for a whole service first, then those by selector, then
+// those by name, so that the narrower one has the last word, and orders each by document name.
 func compareTargetDocuments(a, b *targetDocument) int {
-	if (a.spec.Target == "") != (b.spec.Target == "") {
-		return boolOrder(a.spec.Target == "")
+	return cmp.Or(cmp.Compare(a.spec.narrowness(), b.spec.narrowness()), strings.Compare(a.name, b.name))
+}
+
+// narrowness grows from a whole service over a selector to a single target.
+func (s *TargetSpec) narrowness() int {
+	switch {
+	case s.Target != "":
+		return 2
+	case !s.Selector.Empty():
+		return 1
+	default:
+		return 0
 	}
-	return strings.Compare(a.name, b.name)
 }
 
 // Chooses returns true when the document applies to a target of a service with
@@ -57,9 +67,9 @@
 
 // TargetPolicy returns what applies to a target. The announced labels must include
 // LabelNode and LabelDataCentre. Documents for every service apply first, then those
-// of the service; within each, documents by selector before those by name, each in
-// order of their names. A later document replaces the fields that it sets; a drain
-// by any document counts. Slots only lower what the target announced.
+// of the service; within each, those for all targets, then those by selector, then those by
+// name, each in order of their names. A later document replaces the fields that it sets; a
+// drain by any document counts. Slots only lower what the target announced.
 func (s *Snapshot) TargetPolicy(service, name string, announced labels.Set, announcedSlots int) TargetPolicy {
 	policy := TargetPolicy{Labels: announced, Slots: announcedSlots}
 	slots := 0
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -63,3 +64,17 @@
 	issued, withdrawn := after.Len()
 	require.Equal(t, []int{2, 1}, []int{issued, withdrawn})
 }
+
+// FuzzVerify checks that no text panics, and that nothing but the issued key is valid.
+func FuzzVerify(f *testing.F) {
+	key := Format(7, strings.Repeat("A", 43))
+	_, hash, _ := parse(key)
+	table := NewTable([]*apiv1.KeyRecord{{Number: 7, Organisation: "court", Hash: hash[:]}})
+	for _, seed := range []string{key, "", "gf_7_", "gf_+7_" + key[5:], "gf_18446744073709551616_" + key[5:], key + "\n", "GF" + key[2:]} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		_, status := table.Verify(text)
+		require.Equal(t, text == key, status == Valid)
+	})
+}
