Hold withdrawn keys in a chunked bit vector

Cause: a withdrawal copied a page of 9 kB and the list of 39,000 pages at 10 million keys, and hashes of 32 bytes took the table to 370 MB, above a node's 256 MB. Change: withdrawals stand in a bit vector of their own, in chunks that successors share, after the revocation vectors of "Let's Revoke"; the table keeps 16 bytes of each hash; a key is parsed without copies.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -55,19 +55,46 @@
 	if len(key) > maxKeyLength {
 		return 0, hash, false
 	}
-	parts := strings.SplitN(key, separator, 3)
-	if len(parts) != 3 || parts[0] != prefix {
+	rest, found := strings.CutPrefix(key, prefix+separator)
+	if !found {
 		return 0, hash, false
 	}
-	number, err := strconv.ParseUint(parts[1], 10, 64)
-	if err != nil || number == 0 || strconv.FormatUint(number, 10) != parts[1] {
+	digits, secret, found := strings.Cut(rest, separator)
+	if !found || !canonicalNumber(digits) || !validSecret(secret) {
 		return 0, hash, false
 	}
-	if base64.RawURLEncoding.EncodedLen(secretBytes) != len(parts[2]) {
+	number, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
 		return 0, hash, false
 	}
-	if _, err := base64.RawURLEncoding.DecodeString(parts[2]); err != nil {
-		return 0, hash, false
+	return number, sha256.Sum256([]byte(secret)), true
+}
+
+// canonicalNumber returns true for digits without sign and leading zeros.
+func canonicalNumber(digits string) bool {
+	if digits == "" || digits[0] == '0' {
+		return false
+	}
+	for i := range len(digits) {
+		if digits[i] < '0' || digits[i] > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// validSecret returns true for text of the length and alphabet of secrets.
+func validSecret(text string) bool {
+	if len(text) != base64.RawURLEncoding.EncodedLen(secretBytes) {
+		return false
+	}
+	for i := range len(text) {
+		c := text[i]
+		letter := (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && c != '-' && c != '_' {
+			return false
+		}
 	}
-	return number, sha256.Sum256([]byte(parts[2])), true
+	return true
 }
--- a/internal/keys/table.go
+++ b/internal/keys/table.go
@@ -1,8 +1,8 @@
 package keys
 
 import (
-	"crypto/sha256"
 	"crypto/subtle"
+	"maps"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
@@ -30,33 +30,35 @@
 }
 
 const (
-	// pageKeys is the number of keys in one page; With copies the pages that it changes.
-	pageKeys = 256
-	// wordBits is the number of withdrawal bits in one word.
-	wordBits = 64
+	// pageKeys is the number of keys in one page; With copies the pages in which it issues keys.
+	pageKeys = 1024
+	// hashBytes is the part of the SHA-256 that the table keeps. Finding a secret for it takes
+	// about 2^128 tries; collisions don't matter, since the number selects the hash.
+	hashBytes = 16
+	// maxNumber bounds the memory that a damaged record could claim.
+	maxNumber = 1 << 32
 )
 
 // entry is a stored key.
 type entry struct {
-	hash [sha256.Size]byte
+	hash [hashBytes]byte
 	// organisation is an index into Table.organisations; 0 means that the number is not taken.
 	organisation uint32
 }
 
 // page holds the keys of consecutive numbers.
-type page struct {
-	entries   [pageKeys]entry
-	withdrawn [pageKeys / wordBits]uint64
-}
+type page [pageKeys]entry
 
 // Table holds all keys by number. It is immutable and safe for concurrent use.
 type Table struct {
 	pages []*page
+	// withdrawn has a bit for each key number.
+	withdrawn bitVector
 	// organisations holds the names that entries refer to; index 0 is empty.
-	organisations []string
-	indexes       map[string]uint32
-	issued        int
-	withdrawn     int
+	organisations  []string
+	indexes        map[string]uint32
+	issuedCount    int
+	withdrawnCount int
 }
 
 // NewTable returns a table of the records.
@@ -75,13 +77,13 @@
 	for _, number := range withdrawn {
 		e.withdraw(number)
 	}
-	return e.next
+	return e.finish()
 }
 
 // Len returns the number of keys that were issued, withdrawn ones included, and how
 // many of them were withdrawn.
 func (t *Table) Len() (issued, withdrawn int) {
-	return t.issued, t.withdrawn
+	return t.issuedCount, t.withdrawnCount
 }
 
 // Verify checks a key as the caller presented it. The record is set when the status
@@ -92,17 +94,13 @@
 	if !ok {
 		return Record{}, Malformed
 	}
-	p, slot := t.page(number)
-	if p == nil {
-		return Record{}, Unknown
-	}
-	found := &p.entries[slot]
-	equal := subtle.ConstantTimeCompare(found.hash[:], hash[:]) == 1
+	found := t.entry(number)
+	equal := subtle.ConstantTimeCompare(found.hash[:], hash[:hashBytes]) == 1
 	if found.organisation == 0 || !equal {
 		return Record{}, Unknown
 	}
 	record := Record{Number: number, Organisation: t.organisations[found.organisation]}
-	if p.isWithdrawn(slot) {
+	if t.withdrawn.get(number) {
 		return record, Withdrawn
 	}
 	return record, Valid
@@ -111,77 +109,81 @@
 // Withdrawn returns true when the key of that number was withdrawn. Number 0, which
 // stands for requests without a key, and numbers that the table doesn't know yet are not.
 func (t *Table) Withdrawn(number uint64) bool {
-	p, slot := t.page(number)
-	return p != nil && p.isWithdrawn(slot)
+	return t.withdrawn.get(number)
 }
 
-// page returns the page and the slot of a number, or nil if the table doesn't reach that far.
-func (t *Table) page(number uint64) (*page, int) {
-	if number == 0 {
-		return nil, 0
-	}
-	index := (number - 1) / pageKeys
+// entry returns the entry of a number; it is empty if the number is not taken.
+func (t *Table) entry(number uint64) entry {
+	index := number / pageKeys
 	if index >= uint64(len(t.pages)) {
-		return nil, 0
+		return entry{}
 	}
-	return t.pages[index], int((number - 1) % pageKeys)
-}
-
-func (p *page) isWithdrawn(slot int) bool {
-	return p.withdrawn[slot/wordBits]&(1<<(slot%wordBits)) != 0
+	return t.pages[index][number%pageKeys]
 }
 
 // editor builds the successor of a table and copies each page at most once.
 type editor struct {
 	next        *Table
+	bits        *bitEditor
 	owned       map[uint64]bool
+	ownsPages   bool
 	ownsIndexes bool
 }
 
 func newEditor(t *Table) *editor {
 	next := *t
-	next.pages = append([]*page(nil), t.pages...)
 	next.organisations = t.organisations[:len(t.organisations):len(t.organisations)]
-	return &editor{next: &next, owned: map[uint64]bool{}}
+	return &editor{next: &next, bits: t.withdrawn.edit(), owned: map[uint64]bool{}}
+}
+
+// finish returns the successor.
+func (e *editor) finish() *Table {
+	e.next.withdrawn = e.bits.next
+	return e.next
 }
 
-// issue enters a record. Records without a number are not valid and left out.
+// issue enters a record. Records with a number that can't be are left out.
 func (e *editor) issue(r *apiv1.KeyRecord) {
-	if r.GetNumber() == 0 || r.GetNumber() > maxNumber {
+	number := r.GetNumber()
+	if number == 0 || number > maxNumber {
 		return
 	}
-	p, slot := e.writable(r.GetNumber())
-	if p.entries[slot].organisation == 0 {
-		e.next.issued++
-	}
-	if p.isWithdrawn(slot) {
-		e.next.withdrawn--
-	}
-	p.withdrawn[slot/wordBits] &^= 1 << (slot % wordBits)
-	p.entries[slot] = entry{organisation: e.organisation(r.GetOrganisation())}
-	copy(p.entries[slot].hash[:], r.GetHash())
-	if r.GetWithdrawn() {
-		e.withdraw(r.GetNumber())
+	slot := e.writable(number)
+	if slot.organisation == 0 {
+		e.next.issuedCount++
 	}
+	*slot = entry{organisation: e.organisation(r.GetOrganisation())}
+	copy(slot.hash[:], r.GetHash())
+	e.mark(number, r.GetWithdrawn())
 }
 
 // withdraw marks a key. Numbers that were never issued are left out.
 func (e *editor) withdraw(number uint64) {
-	old, slot := e.next.page(number)
-	if old == nil || old.entries[slot].organisation == 0 || old.isWithdrawn(slot) {
-		return
+	if e.next.entry(number).organisation != 0 {
+		e.mark(number, true)
 	}
-	p, slot := e.writable(number)
-	p.withdrawn[slot/wordBits] |= 1 << (slot % wordBits)
-	e.next.withdrawn++
 }
 
-// maxNumber bounds the memory that a damaged record could claim.
-const maxNumber = 1 << 32
+// mark sets whether a key is withdrawn.
+func (e *editor) mark(number uint64, withdrawn bool) {
+	if e.bits.next.get(number) == withdrawn {
+		return
+	}
+	e.bits.set(number, withdrawn)
+	if withdrawn {
+		e.next.withdrawnCount++
+	} else {
+		e.next.withdrawnCount--
+	}
+}
 
-// writable returns a page of the successor that may be modified.
-func (e *editor) writable(number uint64) (*page, int) {
-	index := (number - 1) / pageKeys
+// writable returns the entry of a number in a page of the successor that may be modified.
+func (e *editor) writable(number uint64) *entry {
+	index := number / pageKeys
+	if !e.ownsPages {
+		e.next.pages = append([]*page(nil), e.next.pages...)
+		e.ownsPages = true
+	}
 	for uint64(len(e.next.pages)) <= index {
 		e.owned[uint64(len(e.next.pages))] = true
 		e.next.pages = append(e.next.pages, &page{})
@@ -191,7 +193,7 @@
 		e.next.pages[index] = &copied
 		e.owned[index] = true
 	}
-	return e.next.pages[index], int((number - 1) % pageKeys)
+	return &e.next.pages[index][number%pageKeys]
 }
 
 // organisation returns the index of a name and enters it if it is new.
@@ -200,11 +202,7 @@
 		return index
 	}
 	if !e.ownsIndexes {
-		copied := make(map[string]uint32, len(e.next.indexes)+1)
-		for known, index := range e.next.indexes {
-			copied[known] = index
-		}
-		e.next.indexes = copied
+		e.next.indexes = maps.Clone(e.next.indexes)
 		e.ownsIndexes = true
 	}
 	index := uint32(len(e.next.organisations))
