Bound the rate under failures, and measure it in virtual time

Cause: refunds of reported tokens were lost, a scarce bucket cost 66 requests a second from each node, and nothing showed that the bound holds under failures. Change: ratelab, a small event-driven world around the allocator and the lessee; refunds go back to the owner, which credits them as far as the bucket stayed below its burst since; reports of scarce tokens follow burst/rate; arrivals at a list that stays busy wait 100 ms at most.

--- a/internal/rate/account.go
+++ b/internal/rate/account.go
@@ -28,15 +28,22 @@
 	available atomic.Int64
 	// lastSpent is the time of the latest spending in nanoseconds of the lessee's time.
 	lastSpent atomic.Int64
+	// stamp is the owner's time of the latest answer.
+	stamp atomic.Int64
+	// reports counts the reports made of this lease.
+	reports atomic.Uint64
 
 	// The fields below are guarded by the account's mutex.
 	granted  uint64
 	returned uint64
-	// reported is the highest count of spent tokens that was sent to the owner.
-	reported uint64
 	// ackSpent and ackReturned are the counts that the owner is known to have.
 	ackSpent    uint64
 	ackReturned uint64
+	// refunded counts reported spendings that were taken back, ackRefunded those the owner knows.
+	refunded    uint64
+	ackRefunded uint64
+	// refundStamp is the least stamp of the refunds that the owner may not know.
+	refundStamp int64
 }
 
 // take spends a token if one is available and the lease is valid.
@@ -128,6 +135,8 @@
 
 	mu      sync.Mutex
 	waiting []*Ticket
+	// busySince is when waiting was last empty.
+	busySince int64
 	// perSecond is the averaged demand.
 	perSecond float64
 	sampledAt int64
@@ -139,6 +148,8 @@
 	askAt int64
 	// forecastAt is when the owner's word was received.
 	forecastAt int64
+	// reportWithin is how soon use should be reported while the bucket is scarce.
+	reportWithin int64
 	// starting is true while a new owner of the shard grants nothing yet.
 	starting bool
 	// touched is the time of the last sample that saw a request.
@@ -151,10 +162,16 @@
 	if h == nil || a.queued.Load() > 0 {
 		return Charge{}, false
 	}
+	charge := a.charge(h)
 	if !h.take(now) {
 		return Charge{}, false
 	}
-	return Charge{account: a, holding: h}, true
+	return charge, true
+}
+
+// charge returns the charge for a token of h that is about to be spent.
+func (a *account) charge(h *holding) Charge {
+	return Charge{account: a, holding: h, stamp: h.stamp.Load(), reports: h.reports.Load()}
 }
 
 // sample folds the requests since the last sample into the averaged demand.
@@ -195,7 +212,7 @@
 type news struct {
 	// short is true when requests wait and the owner may have tokens by now.
 	short bool
-	// prompt is true when use of a scarce bucket should be reported at once.
+	// prompt is true when use of a scarce bucket should be reported soon.
 	prompt bool
 	// wants is true when tokens ahead of demand are missing.
 	wants bool
@@ -222,7 +239,7 @@
 			h.giveBack(excess)
 		}
 		available = h.available.Load()
-		n.reports = h.spent() != h.ackSpent || h.returned != h.ackReturned
+		n.reports = h.spent() != h.ackSpent || h.returned != h.ackReturned || h.refunded != h.ackRefunded
 		n.renews = available > 0 && now >= h.validUntil.Load()-int64(a.cfg.LeaseTTL)/2
 	}
 	n.prompt = n.reports && a.scarce
@@ -236,11 +253,13 @@
 	d := &apiv1.TokenDemand{Organisation: a.organisation, Waiting: uint32(len(a.waiting))}
 	available := int64(0)
 	if h := a.lease.Load(); h != nil {
+		h.reports.Add(1)
 		d.LeaseId = h.id
 		d.Spent = h.spent()
 		d.Returned = h.returned
+		d.Refunded = h.refunded
+		d.RefundStampNs = h.refundStamp
 		d.SpentAgeNs = max(0, now-h.lastSpent.Load())
-		h.reported = max(h.reported, d.Spent)
 		available = h.available.Load()
 	}
 	d.Want = uint32(max(0, a.target()-available)) + d.Waiting
@@ -248,20 +267,21 @@
 }
 
 // accept applies an answer. sent is the demand that it answers, sentAt when that went out.
-func (a *account) accept(now, sentAt int64, sent *apiv1.TokenDemand, g *apiv1.TokenGrant) {
+func (a *account) accept(now, sentAt, stamp int64, sent *apiv1.TokenDemand, g *apiv1.TokenGrant) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.scarce = g.GetScarce()
 	a.share = g.GetShare()
+	a.reportWithin = g.GetReportWithinNs()
 	a.askAt = now + g.GetRetryAfterNs()
 	a.forecastAt = now
 	a.starting = g.GetLeaseId() == 0 && g.GetRetryAfterNs() > 0
-	a.applyGrant(now, sentAt, sent, g)
+	a.applyGrant(now, sentAt, stamp, sent, g)
 	a.refuseHopeless(now)
 }
 
 // applyGrant updates the lease and serves waiting requests.
-func (a *account) applyGrant(now, sentAt int64, sent *apiv1.TokenDemand, g *apiv1.TokenGrant) {
+func (a *account) applyGrant(now, sentAt, stamp int64, sent *apiv1.TokenDemand, g *apiv1.TokenGrant) {
 	h := a.lease.Load()
 	if g.GetLeaseId() == 0 || (h != nil && g.GetLeaseId() < h.id) {
 		return
@@ -270,9 +290,9 @@
 		h = &holding{id: g.GetLeaseId()}
 		a.lease.Store(h)
 	}
+	h.stamp.Store(max(h.stamp.Load(), stamp))
 	if sent.GetLeaseId() == h.id {
-		h.ackSpent = max(h.ackSpent, sent.GetSpent())
-		h.ackReturned = max(h.ackReturned, sent.GetReturned())
+		h.acknowledge(sent)
 	}
 	if valid := sentAt + g.GetTtlNs(); valid > h.validUntil.Load() {
 		h.validUntil.Store(valid)
@@ -288,12 +308,22 @@
 	}
 	for tokens > 0 && len(a.waiting) > 0 {
 		h.markSpent(now)
-		a.resolve(a.pop(), result{charge: Charge{account: a, holding: h}})
+		a.resolve(a.pop(), result{charge: a.charge(h)})
 		tokens--
 	}
 	h.available.Add(int64(tokens))
 }
 
+// acknowledge notes what the owner now knows.
+func (h *holding) acknowledge(sent *apiv1.TokenDemand) {
+	h.ackSpent = max(h.ackSpent, sent.GetSpent())
+	h.ackReturned = max(h.ackReturned, sent.GetReturned())
+	h.ackRefunded = max(h.ackRefunded, sent.GetRefunded())
+	if h.ackRefunded == h.refunded {
+		h.refundStamp = 0
+	}
+}
+
 // pop removes the first waiting request.
 func (a *account) pop() *Ticket {
 	t := a.waiting[0]
@@ -320,6 +350,18 @@
 	return a.forecastAt + int64(wait), true
 }
 
+// patience returns until when an arrival may wait if its wait can be told. A list that does
+// not become empty stems from demand above the rate; a long wait would not lessen it.
+func (a *account) patience(now, limit int64) int64 {
+	if len(a.waiting) == 0 {
+		a.busySince = now
+	}
+	if now-a.busySince > int64(a.cfg.MaxWait) {
+		return min(limit, now+int64(a.cfg.OverloadWait))
+	}
+	return limit
+}
+
 // refuseHopeless refuses waiting requests that can't get a token before their deadline.
 func (a *account) refuseHopeless(now int64) {
 	kept := a.waiting[:0]
@@ -370,24 +412,29 @@
 	return outcome.NotRun(outcome.RateExceeded, time.Duration(after), "no token of %s came in time", a.organisation)
 }
 
-// refund takes back a spending that was not yet reported.
-func (a *account) refund(h *holding, now int64) bool {
+// refund takes back a spent token. One whose spending was not yet reported can be spent
+// again here; the refund of another is reported to the owner.
+func (a *account) refund(c Charge, now int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if h.spent() <= h.reported {
-		return false
+	h := c.holding
+	if c.reports != h.reports.Load() {
+		h.refunded++
+		if h.refundStamp == 0 || c.stamp < h.refundStamp {
+			h.refundStamp = c.stamp
+		}
+		return
 	}
 	if now >= h.validUntil.Load() || a.lease.Load() != h {
 		h.returned++
-		return true
+		return
 	}
 	if len(a.waiting) > 0 {
 		h.markSpent(now)
-		a.resolve(a.pop(), result{charge: Charge{account: a, holding: h}})
-		return true
+		a.resolve(a.pop(), result{charge: a.charge(h)})
+		return
 	}
 	h.available.Add(1)
-	return true
 }
 
 // park marks the account as inactive if it has neither requests nor anything to tell.
--- a/internal/rate/allocator.go
+++ b/internal/rate/allocator.go
@@ -13,6 +13,9 @@
 // reserveShare is the part of the burst that is never leased ahead of demand.
 const reserveShare = 0.25
 
+// reportShare is the part of the time to fill the burst within which scarce tokens are reported.
+const reportShare = 0.125
+
 // leaseCounterBits is the width of the counter below the epoch in a lease id.
 const leaseCounterBits = 40
 
@@ -30,6 +33,7 @@
 	granted  uint64
 	spent    uint64
 	returned uint64
+	refunded uint64
 	expires  time.Time
 	element  *list.Element
 	// waitingAt is when the node last reported waiting requests.
@@ -98,7 +102,7 @@
 // Lease takes the reports of a node and grants tokens. Organisations without limits are left out.
 func (a *Allocator) Lease(now time.Time, req *apiv1.LeaseRequest) *apiv1.LeaseResponse {
 	a.Expire(now)
-	resp := &apiv1.LeaseResponse{Sequence: req.GetSequence(), Epoch: a.epoch}
+	resp := &apiv1.LeaseResponse{Sequence: req.GetSequence(), Epoch: a.epoch, OwnerTimeNs: int64(a.now.Sub(a.start))}
 	if now.Before(a.start) {
 		a.refuseUntilStart(now, req, resp)
 		return resp
@@ -173,6 +177,9 @@
 		TtlNs:        int64(a.cfg.LeaseTTL),
 		Scarce:       b.scarce(),
 	}
+	if g.Scarce {
+		g.ReportWithinNs = int64(a.reportWithin(b))
+	}
 	if unmet > 0 {
 		a.forecast(b, g)
 	}
@@ -193,6 +200,10 @@
 	b.spend(a.now, spent-l.spent, age)
 	l.spent = spent
 	l.returned = returned
+	if refunded := min(d.GetRefunded(), spent); refunded > l.refunded {
+		b.refund(refunded-l.refunded, a.start.Add(time.Duration(d.GetRefundStampNs())))
+		l.refunded = refunded
+	}
 }
 
 // open starts a lease.
@@ -272,6 +283,16 @@
 	return b.waiting.Len() > 0 || b.level < reserveShare*b.burst
 }
 
+// reportWithin returns how soon nodes should report spending, so that unreported spending
+// takes only a small part of the burst.
+func (a *Allocator) reportWithin(b *bucket) time.Duration {
+	if b.perSecond <= 0 {
+		return a.cfg.Interval
+	}
+	fill := b.burst / b.perSecond * float64(time.Second)
+	return min(max(time.Duration(fill*reportShare), a.cfg.MinGap), a.cfg.Interval)
+}
+
 // forecast says when the next token may come. While tokens out on lease fill the burst the
 // bucket gains nothing, so only a time to ask again can be told.
 func (a *Allocator) forecast(b *bucket, g *apiv1.TokenGrant) {
--- a/internal/rate/bucket.go
+++ b/internal/rate/bucket.go
@@ -22,6 +22,9 @@
 	fullSince time.Time
 
 	accounts map[nodeKey]*lease
+	// headroom remembers how far below the burst the bucket stayed lately.
+	headroom headroom
+
 	// waiting lists the leases whose node waits for tokens, the oldest report first.
 	waiting *list.List
 }
@@ -54,6 +57,7 @@
 	if elapsed <= 0 {
 		return
 	}
+	defer b.noteHeadroom()
 	began := b.updated
 	b.updated = now
 	room := b.burst - b.occupied()
@@ -73,6 +77,10 @@
 	b.markFull(began.Add(fillTime))
 }
 
+func (b *bucket) noteHeadroom() {
+	b.headroom.note(b.updated, b.burst-b.occupied())
+}
+
 func (b *bucket) markFull(at time.Time) {
 	if b.fullSince.IsZero() {
 		b.fullSince = at
@@ -88,7 +96,10 @@
 	b.perSecond = perSecond
 	b.burst = burst
 	b.fullSince = time.Time{}
-	b.level = min(b.level, max(0, burst-float64(b.outstanding)))
+	if room := max(0, burst-float64(b.outstanding)); b.level > room {
+		b.level = room
+		b.headroom.note(now, 0)
+	}
 }
 
 // grant moves whole tokens from the level to outstanding.
@@ -122,6 +133,19 @@
 	b.outstanding -= tokens
 	b.level += max(0, credit)
 	b.fullSince = time.Time{}
+	b.noteHeadroom()
+}
+
+// refund takes back tokens whose spending was freed at or after since, because their
+// requests were not run. Without that spending the bucket would have held that many tokens
+// more, but never more than the burst; only what would still be there is credited.
+func (b *bucket) refund(tokens uint64, since time.Time) {
+	credit := min(float64(tokens), b.headroom.least(since), b.burst-b.occupied())
+	if credit <= 0 {
+		return
+	}
+	b.level += credit
+	b.headroom.reduce(credit)
 }
 
 // forfeit frees tokens whose lease ended without a report; they may have been spent.
--- a/internal/rate/config.go
+++ b/internal/rate/config.go
@@ -36,6 +36,9 @@
 	Horizon time.Duration
 	// MaxWait bounds how long a request waits for a token.
 	MaxWait time.Duration
+	// OverloadWait replaces MaxWait for arrivals whose wait can be told, once the waiting list
+	// has not been empty for MaxWait.
+	OverloadWait time.Duration
 	// RequestTimeout is the time after which an unanswered request is given up.
 	RequestTimeout time.Duration
 	// OwnerRequestsPerSecond is the request rate to which an owner paces its nodes.
@@ -56,6 +59,7 @@
 	setDuration(&c.MinGap, 5*time.Millisecond)
 	setDuration(&c.Horizon, 150*time.Millisecond)
 	setDuration(&c.MaxWait, 500*time.Millisecond)
+	setDuration(&c.OverloadWait, 100*time.Millisecond)
 	setDuration(&c.RequestTimeout, 100*time.Millisecond)
 	if c.DriftPPM == 0 {
 		c.DriftPPM = 1000
--- a/internal/rate/lessee.go
+++ b/internal/rate/lessee.go
@@ -33,6 +33,10 @@
 type Charge struct {
 	account *account
 	holding *holding
+	// stamp is the owner's time known before the spending.
+	stamp int64
+	// reports is the number of reports of the lease before the spending.
+	reports uint64
 }
 
 // Valid reports whether the charge holds a spent token.
@@ -40,15 +44,15 @@
 	return c.holding != nil
 }
 
-// Refund takes back the token of a request that was provably not run. It reports false if
-// the spending had already been reported; the token is then lost.
-func (c Charge) Refund() bool {
+// Refund takes back the token of a request that was provably not run. A charge may be
+// refunded once.
+func (c Charge) Refund() {
 	if !c.Valid() {
-		return false
+		return
 	}
 	l := c.account.lessee
-	defer l.unpark(c.account)
-	return c.account.refund(c.holding, l.since(l.clock.Now()))
+	c.account.refund(c, l.since(l.clock.Now()))
+	l.unpark(c.account)
 }
 
 // Outgoing is a lease request that is due, with what is needed to use its answer.
@@ -156,11 +160,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := &Ticket{account: a, deadline: limit, done: make(chan result, 1)}
-	if h := a.lease.Load(); h != nil && len(a.waiting) == 0 && h.take(at) {
-		t.done <- result{charge: Charge{account: a, holding: h}}
-		return t, nil
+	if len(a.waiting) == 0 {
+		if charge, ok := a.take(at); ok {
+			t.done <- result{charge: charge}
+			return t, nil
+		}
 	}
-	if expected, ok := a.expected(at, len(a.waiting)); ok && expected > limit {
+	patience := a.patience(at, limit)
+	if expected, ok := a.expected(at, len(a.waiting)); ok && expected > patience {
 		return nil, a.refusal(at, expected)
 	}
 	a.waiting = append(a.waiting, t)
@@ -250,10 +257,13 @@
 		if !n.short && len(a.waiting) > 0 {
 			due = min(due, a.askAt)
 		}
+		reportWithin := a.reportWithin
 		a.mu.Unlock()
 		switch {
-		case n.short || n.prompt:
+		case n.short:
 			due = min(due, now)
+		case n.prompt:
+			due = min(due, sent+reportWithin)
 		case n.wants || n.renews:
 			due = min(due, sent+int64(l.cfg.Interval))
 		case n.reports:
@@ -290,7 +300,7 @@
 	}
 	for _, d := range out.Request.GetDemands() {
 		if g, ok := grants[d.GetOrganisation()]; ok {
-			l.account(d.GetOrganisation()).accept(l.since(now), l.since(out.SentAt), d, g)
+			l.account(d.GetOrganisation()).accept(l.since(now), l.since(out.SentAt), resp.GetOwnerTimeNs(), d, g)
 		}
 	}
 }
--- /dev/null
+++ b/internal/rate/lessee_test.go
@@ -0,0 +1,83 @@
+package rate
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
+)
+
+// grantTo gives a lessee tokens of an organisation.
+func grantTo(l *Lessee, now time.Time, organisation string, tokens uint64, ttl time.Duration) {
+	out := Outgoing{SentAt: now, Request: &apiv1.LeaseRequest{
+		Sequence: 1,
+		Demands:  []*apiv1.TokenDemand{{Organisation: organisation}},
+	}}
+	l.Accept(now, out, &apiv1.LeaseResponse{Sequence: 1, Grants: []*apiv1.TokenGrant{{
+		Organisation: organisation, LeaseId: 1, Tokens: tokens, TtlNs: int64(ttl),
+	}}})
+}
+
+func TestTryTakeAllocatesNothing(t *testing.T) {
+	now := time.Now()
+	l := NewLessee(Config{}, Identity{Node: "n"}, 4, clock.System{})
+	grantTo(l, now, "kanzlei", 1<<40, time.Hour)
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		charge, ok := l.TryTake(now, "kanzlei")
+		if !ok || !charge.Valid() {
+			t.Fatal("no token")
+		}
+	}))
+}
+
+func TestRepeatedAnswersGrantOnce(t *testing.T) {
+	now := time.Now()
+	l := NewLessee(Config{}, Identity{Node: "n"}, 1, clock.System{})
+	for range 3 {
+		grantTo(l, now, "kanzlei", 2, time.Second)
+	}
+	_, first := l.TryTake(now, "kanzlei")
+	_, second := l.TryTake(now.Add(time.Second-2), "kanzlei")
+	_, third := l.TryTake(now, "kanzlei")
+	require.Equal(t, []bool{true, true, false}, []bool{first, second, third})
+
+	grantTo(l, now, "kanzlei", 3, time.Second)
+	_, late := l.TryTake(now.Add(time.Second), "kanzlei")
+	require.False(t, late, "spent after the lease had ended")
+}
+
+// BenchmarkTryTake measures the charge of a request from a lease with 8 goroutines to a core set.
+func BenchmarkTryTake(b *testing.B) {
+	for _, organisations := range []int{1, 8, 1000} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			benchmarkTryTake(b, organisations)
+		})
+	}
+}
+
+func benchmarkTryTake(b *testing.B, organisations int) {
+	now := time.Now()
+	l := NewLessee(Config{}, Identity{Node: "n"}, 4, clock.System{})
+	names := make([]string, organisations)
+	for i := range names {
+		names[i] = fmt.Sprintf("organisation-%d", i)
+		grantTo(l, now, names[i], 1<<40, time.Hour)
+	}
+	var worker atomic.Int64
+	b.ReportAllocs()
+	b.SetParallelism(1)
+	b.RunParallel(func(pb *testing.PB) {
+		i := int(worker.Add(1))
+		for pb.Next() {
+			i++
+			if _, ok := l.TryTake(now, names[i%organisations]); !ok {
+				b.Fatal("no token")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/ratelab/cmd/rates/main.go
@@ -0,0 +1,12 @@
+// Command rates prints the figures of the rate scenarios as a table.
+package main
+
+import (
+	"os"
+
+	"github.com/guavaford/guavaford/internal/ratelab"
+)
+
+func main() {
+	ratelab.Print(os.Stdout, ratelab.Rows())
+}
--- /dev/null
+++ b/internal/ratelab/scenario.go
@@ -0,0 +1,222 @@
+package ratelab
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/guavaford/guavaford/internal/rate"
+)
+
+// Deployment is the size of an installation.
+type Deployment struct {
+	Name string
+	// NodesByDataCentre counts the nodes of each data centre.
+	NodesByDataCentre []int
+	// Delay is the one-way delay between data centres.
+	Delay time.Duration
+}
+
+// Koperasi and Verband are the two installations of today.
+var (
+	Koperasi = Deployment{Name: "koperasi", NodesByDataCentre: []int{5, 4, 4}, Delay: 500 * time.Microsecond}
+	Verband  = Deployment{Name: "verband", NodesByDataCentre: []int{4, 4, 4}, Delay: 1500 * time.Microsecond}
+)
+
+// Nodes returns the number of nodes.
+func (d Deployment) Nodes() int {
+	sum := 0
+	for _, n := range d.NodesByDataCentre {
+		sum += n
+	}
+	return sum
+}
+
+// Method is a way to enforce the rate.
+type Method struct {
+	Name string
+	Cfg  rate.Config
+	// Split gives each node a fixed part of rate and burst in place of leases.
+	Split bool
+	// Single sends each organisation's demand in a message of its own.
+	Single bool
+}
+
+// Methods are compared with each other; the first is the one in use.
+func Methods() []Method {
+	return []Method{
+		{Name: "lease, proportional, batched"},
+		{Name: "lease, proportional, single", Single: true},
+		{Name: "lease, fixed chunk of 10", Cfg: rate.Config{Policy: rate.FixedChunk, Chunk: 10}},
+		{Name: "static split", Split: true},
+	}
+}
+
+// Flow is the demand of one organisation.
+type Flow struct {
+	Organisation     string
+	PerSecond, Burst float64
+	// Demand is the mean arrival rate a second.
+	Demand float64
+	// Node chooses where a request enters.
+	Node func(w *World, now time.Duration) *Node
+}
+
+// Row is the outcome of one organisation in one run.
+type Row struct {
+	Scenario, Deployment, Method string
+	Organisation                 string
+	Demand, Admitted, Ideal      int
+	WithinRefusedShare           float64
+	Excess                       float64
+	WaitP50, WaitP99             time.Duration
+	// MessagesPerNode is the number of lease requests a second of one node.
+	MessagesPerNode float64
+	// BytesPerNode is the bytes a second of one node's requests and answers.
+	BytesPerNode float64
+}
+
+const (
+	warmUp   = 3 * time.Second
+	measured = 60 * time.Second
+	timeout  = 2 * time.Second
+)
+
+// run drives flows through a world and returns one row for each.
+func run(scenario string, d Deployment, m Method, flows []Flow, seed uint64) []Row {
+	w := NewWorld(m.Cfg, seed)
+	w.Link = Link{Delay: d.Delay, Jitter: d.Delay / 5}
+	w.Batching = !m.Single
+	w.AddOwner(0, 0)
+	for dc, count := range d.NodesByDataCentre {
+		for range count {
+			w.AddNode(dc, 0)
+		}
+	}
+	tallies := make([]*Tally, len(flows))
+	for i, f := range flows {
+		w.SetLimits(f.Organisation, f.PerSecond, f.Burst)
+		tallies[i] = NewTally(f.PerSecond, f.Burst)
+		w.drive(f, tallies[i], splitFor(w, f, m))
+	}
+	w.At(warmUp, func() {
+		w.Messages = 0
+		w.Bytes = 0
+		for _, t := range tallies {
+			t.Measure()
+		}
+	})
+	w.Run(warmUp + measured)
+	rows := make([]Row, len(flows))
+	for i, t := range tallies {
+		rows[i] = Row{
+			Scenario: scenario, Deployment: d.Name, Method: m.Name, Organisation: flows[i].Organisation,
+			Demand: t.Demand, Admitted: t.Admitted, Ideal: t.Ideal,
+			WithinRefusedShare: t.WithinRefusedShare(), Excess: t.Excess,
+			WaitP50: t.Wait(50), WaitP99: t.Wait(99),
+			MessagesPerNode: float64(w.Messages) / measured.Seconds() / float64(d.Nodes()),
+			BytesPerNode:    float64(w.Bytes) / measured.Seconds() / float64(d.Nodes()),
+		}
+	}
+	return rows
+}
+
+// drive makes requests arrive at exponential distances.
+func (w *World) drive(f Flow, t *Tally, split map[*Node]*Bucket) {
+	var arrive func()
+	arrive = func() {
+		n := f.Node(w, w.now)
+		done := t.Arrive(w.Now)
+		if split != nil {
+			done(Outcome{Admitted: split[n].Take(w.now)})
+		} else {
+			n.Request(f.Organisation, timeout, done)
+		}
+		w.After(time.Duration(w.rnd.ExpFloat64()/f.Demand*float64(time.Second)), arrive)
+	}
+	w.After(time.Duration(w.rnd.ExpFloat64()/f.Demand*float64(time.Second)), arrive)
+}
+
+// splitFor returns the fixed parts of the static split, at least one token of burst each.
+func splitFor(w *World, f Flow, m Method) map[*Node]*Bucket {
+	if !m.Split {
+		return nil
+	}
+	parts := make(map[*Node]*Bucket, len(w.nodes))
+	count := float64(len(w.nodes))
+	for _, n := range w.nodes {
+		parts[n] = NewBucket(f.PerSecond/count, max(1, f.Burst/count))
+	}
+	return parts
+}
+
+// anyNode spreads requests evenly.
+func anyNode(w *World, _ time.Duration) *Node {
+	return w.nodes[w.rnd.IntN(len(w.nodes))]
+}
+
+// movingNode sends all requests to one data centre, another one every period.
+func movingNode(period time.Duration) func(w *World, now time.Duration) *Node {
+	return func(w *World, now time.Duration) *Node {
+		last := w.nodes[len(w.nodes)-1].DataCentre
+		dc := int(now/period) % (last + 1)
+		for {
+			if n := anyNode(w, now); n.DataCentre == dc {
+				return n
+			}
+		}
+	}
+}
+
+// LargeBesideSmall is one organisation at 5 times its rate beside seven within theirs.
+func LargeBesideSmall(d Deployment, m Method) []Row {
+	flows := []Flow{{Organisation: "large", PerSecond: 400, Burst: 200, Demand: 2000, Node: anyNode}}
+	for i := range 7 {
+		perSecond := 20 * float64(i+1)
+		flows = append(flows, Flow{
+			Organisation: fmt.Sprintf("small-%d", i+1),
+			PerSecond:    perSecond,
+			Burst:        perSecond / 2,
+			Demand:       0.8 * perSecond,
+			Node:         anyNode,
+		})
+	}
+	return run("d", d, m, flows, 1)
+}
+
+// MovingDemand is one organisation that moves between data centres, with a burst below the
+// number of nodes.
+func MovingDemand(d Deployment, m Method) []Row {
+	flow := Flow{
+		Organisation: "moving", PerSecond: 100, Burst: 6, Demand: 70,
+		Node: movingNode(2 * time.Second),
+	}
+	return run("g", d, m, []Flow{flow}, 2)
+}
+
+// Rows runs both scenarios for both deployments and all methods.
+func Rows() []Row {
+	var rows []Row
+	for _, m := range Methods() {
+		for _, d := range []Deployment{Koperasi, Verband} {
+			rows = append(rows, LargeBesideSmall(d, m)...)
+			rows = append(rows, MovingDemand(d, m)...)
+		}
+	}
+	return rows
+}
+
+// Print writes rows as a table in Markdown.
+func Print(out io.Writer, rows []Row) {
+	fmt.Fprintln(out, "| Scenario | Deployment | Method | Organisation | Demand | Admitted | Ideal | Refused within rate | Excess | Wait p50 | Wait p99 | Requests/s of a node | KB/s of a node |")
+	fmt.Fprintln(out, "|---|---|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
+	for _, r := range rows {
+		fmt.Fprintf(out, "| %s | %s | %s | %s | %d | %d | %d | %.3f %% | %.3g | %.1f ms | %.1f ms | %.1f | %.1f |\n",
+			r.Scenario, r.Deployment, r.Method, r.Organisation, r.Demand, r.Admitted, r.Ideal,
+			100*r.WithinRefusedShare, r.Excess, ms(r.WaitP50), ms(r.WaitP99), r.MessagesPerNode, r.BytesPerNode/1000)
+	}
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/internal/ratelab/tally.go
@@ -0,0 +1,135 @@
+package ratelab
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bucket is the ideal token bucket that sees every request of the fleet at once.
+type Bucket struct {
+	PerSecond, Burst float64
+	level            float64
+	updated          time.Duration
+}
+
+// NewBucket returns a full bucket.
+func NewBucket(perSecond, burst float64) *Bucket {
+	return &Bucket{PerSecond: perSecond, Burst: burst, level: burst}
+}
+
+// Set changes the limits at a time; the level is clipped.
+func (b *Bucket) Set(now time.Duration, perSecond, burst float64) {
+	b.advance(now)
+	b.PerSecond = perSecond
+	b.Burst = burst
+	b.level = min(b.level, burst)
+}
+
+func (b *Bucket) advance(now time.Duration) {
+	b.level = min(b.Burst, b.level+b.PerSecond*(now-b.updated).Seconds())
+	b.updated = now
+}
+
+// Take spends a token if there is a whole one.
+func (b *Bucket) Take(now time.Duration) bool {
+	b.advance(now)
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// Force spends a token in any case and returns by how much the bucket is overdrawn.
+func (b *Bucket) Force(now time.Duration) float64 {
+	b.advance(now)
+	b.level--
+	return max(0, -b.level)
+}
+
+// roundingTolerance absorbs floating-point error in the check for excess, in tokens.
+const roundingTolerance = 1e-6
+
+// Tally counts what became of one organisation's requests.
+type Tally struct {
+	Demand   int
+	Admitted int
+	// Ideal counts the requests that the ideal bucket admits.
+	Ideal int
+	// WithinRefused counts refusals of requests that the ideal bucket admits.
+	WithinRefused int
+	// Excess is the greatest overdraft of a bucket charged with every admission, in tokens.
+	Excess float64
+
+	ideal    *Bucket
+	charged  *Bucket
+	waits    *hdrhistogram.Histogram
+	measured bool
+}
+
+// NewTally returns a tally for the limits of an organisation.
+func NewTally(perSecond, burst float64) *Tally {
+	return &Tally{
+		ideal:   NewBucket(perSecond, burst),
+		charged: NewBucket(perSecond, burst),
+		waits:   hdrhistogram.New(1, int64(10*time.Second/time.Microsecond), 3),
+	}
+}
+
+// Measure starts the counting; what came before only fills the buckets.
+func (t *Tally) Measure() {
+	t.measured = true
+}
+
+// Arrive notes a request and returns the function that takes its outcome. now gives the time.
+func (t *Tally) Arrive(now func() time.Duration) func(Outcome) {
+	within := t.ideal.Take(now())
+	measured := t.measured
+	if measured {
+		t.Demand++
+		if within {
+			t.Ideal++
+		}
+	}
+	return func(o Outcome) {
+		if o.Admitted {
+			t.charge(now())
+		}
+		if measured {
+			t.settle(within, o)
+		}
+	}
+}
+
+func (t *Tally) charge(now time.Duration) {
+	over := t.charged.Force(now)
+	if over > roundingTolerance {
+		t.Excess = math.Max(t.Excess, over)
+	}
+}
+
+func (t *Tally) settle(within bool, o Outcome) {
+	if !o.Admitted {
+		if within {
+			t.WithinRefused++
+		}
+		return
+	}
+	t.Admitted++
+	_ = t.waits.RecordValue(int64(o.Waited / time.Microsecond))
+}
+
+// WithinRefusedShare returns the share of the requests within rate that were refused.
+func (t *Tally) WithinRefusedShare() float64 {
+	if t.Ideal == 0 {
+		return 0
+	}
+	return float64(t.WithinRefused) / float64(t.Ideal)
+}
+
+// Wait returns a percentile of the time that admitted requests waited for their token.
+func (t *Tally) Wait(percentile float64) time.Duration {
+	return time.Duration(t.waits.ValueAtQuantile(percentile)) * time.Microsecond
+}
--- /dev/null
+++ b/internal/ratelab/world.go
@@ -0,0 +1,347 @@
+package ratelab
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/rate"
+)
+
+// event is a function that runs at a time; order breaks ties.
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+// eventQueue is a heap of events, the earliest first.
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// Link describes the way between a node and an owner.
+type Link struct {
+	// Delay is the least one-way delay, Jitter the greatest addition to it.
+	Delay, Jitter time.Duration
+	// Loss and Duplicate are the shares of messages lost and repeated.
+	Loss, Duplicate float64
+}
+
+// World is one run in virtual time.
+type World struct {
+	Link Link
+	// Batching sends one message for all organisations; otherwise each demand travels alone.
+	Batching bool
+	// Messages counts the requests that nodes sent.
+	Messages int
+	// Bytes counts the bytes of requests and answers, without transport headers.
+	Bytes int
+
+	cfg    rate.Config
+	rnd    *rand.Rand
+	epoch0 time.Time
+	now    time.Duration
+	order  uint64
+	queue  eventQueue
+	nodes  []*Node
+	owners []*owner
+	limits map[string]limit
+}
+
+// limit is the rate and burst of an organisation.
+type limit struct {
+	perSecond, burst float64
+}
+
+// NewWorld returns a world without nodes and owners.
+func NewWorld(cfg rate.Config, seed uint64) *World {
+	return &World{
+		Link:     Link{Delay: time.Millisecond, Jitter: time.Millisecond / 2},
+		Batching: true,
+		cfg:      cfg.WithDefaults(),
+		rnd:      rand.New(rand.NewPCG(seed, seed)),
+		epoch0:   time.Unix(1_000_000, 0),
+		limits:   make(map[string]limit),
+	}
+}
+
+// At schedules run after d of virtual time from the start of the world.
+func (w *World) At(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.queue, event{at: max(d, w.now), order: w.order, run: run})
+}
+
+// After schedules run d from now.
+func (w *World) After(d time.Duration, run func()) {
+	w.At(w.now+d, run)
+}
+
+// Run executes events up to the end.
+func (w *World) Run(end time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+// Now returns the virtual time since the start.
+func (w *World) Now() time.Duration {
+	return w.now
+}
+
+// SetLimits sets rate and burst of an organisation from now on.
+func (w *World) SetLimits(organisation string, perSecond, burst float64) {
+	w.limits[organisation] = limit{perSecond: perSecond, burst: burst}
+}
+
+// driftingClock is the clock of one process.
+type driftingClock struct {
+	world *World
+	ppm   int64
+}
+
+// Now returns the virtual time as this clock shows it.
+func (c driftingClock) Now() time.Time {
+	drift := c.world.now * time.Duration(c.ppm) / 1_000_000
+	return c.world.epoch0.Add(c.world.now + drift)
+}
+
+// owner is a control replica that owns the shard for one epoch.
+type owner struct {
+	clock     driftingClock
+	allocator *rate.Allocator
+	// until is when its ownership ends, in virtual time.
+	until time.Duration
+}
+
+// AddOwner appoints a new owner now. The former one may grant for another oldGrants.
+func (w *World) AddOwner(ppm int64, oldGrants time.Duration) {
+	clk := driftingClock{world: w, ppm: ppm}
+	start := clk.Now()
+	if n := len(w.owners); n > 0 {
+		w.owners[n-1].until = w.now + oldGrants
+		start = start.Add(w.cfg.TakeoverWait())
+	}
+	epoch := uint64(len(w.owners) + 1)
+	w.owners = append(w.owners, &owner{
+		clock:     clk,
+		allocator: rate.NewAllocator(w.cfg, epoch, start),
+		until:     1 << 62,
+	})
+}
+
+// lease answers a request at an owner.
+func (w *World) lease(o *owner, req *apiv1.LeaseRequest) *apiv1.LeaseResponse {
+	if w.now >= o.until {
+		return &apiv1.LeaseResponse{Sequence: req.GetSequence(), NotOwner: true}
+	}
+	now := o.clock.Now()
+	for _, d := range req.GetDemands() {
+		if l, ok := w.limits[d.GetOrganisation()]; ok {
+			o.allocator.SetLimits(now, d.GetOrganisation(), l.perSecond, l.burst)
+		}
+	}
+	return o.allocator.Lease(now, req)
+}
+
+// Node is a node of the world.
+type Node struct {
+	// DataCentre is where the node stands.
+	DataCentre int
+	// Cut is true while no message passes between the node and the owners.
+	Cut bool
+
+	world   *World
+	number  int
+	restart uint64
+	clock   driftingClock
+	lessee  *rate.Lessee
+	owner   int
+	pending []waitingRequest
+	wakeAt  time.Duration
+}
+
+// Outcome is what became of a request for a token.
+type Outcome struct {
+	Admitted bool
+	Waited   time.Duration
+	Charge   rate.Charge
+}
+
+// waitingRequest is a request that waits for a token at a node.
+type waitingRequest struct {
+	ticket  *rate.Ticket
+	arrived time.Duration
+	done    func(Outcome)
+}
+
+// AddNode adds a node whose clock drifts by ppm parts per million.
+func (w *World) AddNode(dataCentre int, ppm int64) *Node {
+	n := &Node{DataCentre: dataCentre, world: w, number: len(w.nodes), clock: driftingClock{world: w, ppm: ppm}}
+	n.start()
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+func (n *Node) start() {
+	id := rate.Identity{Node: fmt.Sprintf("n%d", n.number), Incarnation: n.restart + 1}
+	n.lessee = rate.NewLessee(n.world.cfg, id, 1, n.clock)
+	n.wakeAt = 1 << 62
+	n.exchange()
+}
+
+// Restart ends the process of the node and starts a new one, which knows nothing.
+func (n *Node) Restart() {
+	for _, p := range n.pending {
+		p.done(Outcome{Waited: n.world.now - p.arrived})
+	}
+	n.pending = nil
+	n.restart++
+	n.start()
+}
+
+// Follow makes the node send its requests to the latest owner.
+func (n *Node) Follow() {
+	n.owner = len(n.world.owners) - 1
+}
+
+// Request asks for a token; done is called once with the outcome.
+func (n *Node) Request(organisation string, timeout time.Duration, done func(Outcome)) {
+	now := n.clock.Now()
+	if charge, ok := n.lessee.TryTake(now, organisation); ok {
+		done(Outcome{Admitted: true, Charge: charge})
+		return
+	}
+	ticket, refusal := n.lessee.Enqueue(now, organisation, now.Add(timeout))
+	if refusal != nil {
+		done(Outcome{})
+		return
+	}
+	p := waitingRequest{ticket: ticket, arrived: n.world.now, done: done}
+	n.pending = append(n.pending, p)
+	limit := min(timeout, n.world.cfg.MaxWait)
+	n.world.After(limit, func() { n.settle() })
+	n.exchange()
+}
+
+// Refund takes back the token of a request that was not run.
+func (n *Node) Refund(c rate.Charge) {
+	c.Refund()
+	n.settle()
+}
+
+// settle reports the outcome of requests whose wait is over.
+func (n *Node) settle() {
+	open := n.pending[:0]
+	for _, p := range n.pending {
+		waited := n.world.now - p.arrived
+		charge, refusal, ok := p.ticket.Poll()
+		if !ok && waited >= n.world.cfg.MaxWait {
+			charge, refusal = n.lessee.Abandon(n.clock.Now(), p.ticket)
+			ok = true
+		}
+		if !ok {
+			open = append(open, p)
+			continue
+		}
+		p.done(Outcome{Admitted: refusal == nil && charge.Valid(), Waited: waited, Charge: charge})
+	}
+	n.pending = open
+}
+
+// exchange sends the requests that are due and plans the next look.
+func (n *Node) exchange() {
+	w := n.world
+	due, next := n.lessee.Requests(n.clock.Now())
+	for _, out := range due {
+		n.send(out)
+	}
+	at := w.now + next.Sub(n.clock.Now())
+	if at >= n.wakeAt && n.wakeAt > w.now {
+		return
+	}
+	n.wakeAt = at
+	w.At(at, func() {
+		if n.wakeAt == at {
+			n.exchange()
+		}
+	})
+}
+
+// send passes a request to the owner that the node knows, whole or one organisation at a time.
+func (n *Node) send(out rate.Outgoing) {
+	if n.world.Batching {
+		n.transmit(out)
+		return
+	}
+	for _, d := range out.Request.GetDemands() {
+		single := proto.Clone(out.Request).(*apiv1.LeaseRequest)
+		single.Demands = []*apiv1.TokenDemand{d}
+		n.transmit(rate.Outgoing{Request: single, SentAt: out.SentAt})
+	}
+}
+
+// transmit carries one request and its answer over the link.
+func (n *Node) transmit(out rate.Outgoing) {
+	w := n.world
+	w.Messages++
+	w.Bytes += proto.Size(out.Request)
+	lessee := n.lessee
+	to := w.owners[n.owner]
+	w.carry(n, func() {
+		resp := w.lease(to, out.Request)
+		w.Bytes += proto.Size(resp)
+		w.carry(n, func() {
+			if n.lessee != lessee {
+				return
+			}
+			lessee.Accept(n.clock.Now(), out, resp)
+			n.settle()
+			n.exchange()
+		})
+	})
+}
+
+// carry delivers a message never, once or twice, each time after its own delay.
+func (w *World) carry(n *Node, deliver func()) {
+	if n.Cut || w.rnd.Float64() < w.Link.Loss {
+		return
+	}
+	copies := 1
+	if w.rnd.Float64() < w.Link.Duplicate {
+		copies = 2
+	}
+	for range copies {
+		delay := w.Link.Delay + time.Duration(w.rnd.Float64()*float64(w.Link.Jitter))
+		w.After(delay, func() {
+			if !n.Cut {
+				deliver()
+			}
+		})
+	}
+}
