--- a/internal/rate/account.go
+++ b/internal/rate/account.go
@@ -191,9 +191,6 @@
 
 // target returns the tokens to hold ahead of demand.
 func (a *account) target() int64 {
-	if a.cfg.Policy == FixedChunk {
-		return int64(a.cfg.Chunk)
-	}
 	if a.scarce {
 		return 0
 	}
--- a/internal/rate/config.go
+++ b/internal/rate/config.go
@@ -6,16 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Policy chooses how a node asks for tokens ahead of its demand.
-type Policy int
-
-const (
-	// DemandProportional asks for the tokens that recent demand needs over Horizon.
-	DemandProportional Policy = iota
-	// FixedChunk keeps a fixed number of tokens, whatever the demand.
-	FixedChunk
-)
-
 // Config holds the constants that nodes and owners must agree on. Zero fields get defaults.
 type Config struct {
 	// LeaseTTL is the validity of a lease, counted from the sending of the request.
@@ -43,10 +33,6 @@
 	RequestTimeout time.Duration
 	// OwnerRequestsPerSecond is the request rate to which an owner paces its nodes.
 	OwnerRequestsPerSecond float64
-	// Policy chooses how a node asks ahead.
-	Policy Policy
-	// Chunk is the number of tokens kept under FixedChunk.
-	Chunk uint32
 }
 
 // WithDefaults returns the configuration with its zero fields filled in.
@@ -67,9 +53,6 @@
 	if c.OwnerRequestsPerSecond == 0 {
 		c.OwnerRequestsPerSecond = 10_000
 	}
-	if c.Chunk == 0 {
-		c.Chunk = 10
-	}
 	return c
 }
 
