Let operators list and remove control replicas

Cause: a host that does not come back stays a member and counts for the quorum; nothing let an operator take it out. Change: DELETE /v1/replicas/{id}, served by nodes with a control replica, and the commands replicas list and replicas remove. status shows one line for each owner of rate shards instead of one for each shard. Shown by: go test ./internal/cli ./internal/operator passes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -58,6 +58,7 @@
 			labelCommand(),
 			drainCommand(),
 			keysCommand(),
+			replicasCommand(),
 			statusCommand(),
 			versionCommand(),
 		},
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -66,6 +66,7 @@
 	operator.CodeChangeIDReused:       ExitChangeIDReused,
 	operator.CodeControlUnavailable:   ExitUnavailable,
 	operator.CodeChangeUnknown:        ExitUnknown,
+	operator.CodeMembershipRefused:    ExitFailure,
 }
 
 // exitCode returns the exit code of an error.
--- a/internal/cli/refs.go
+++ b/internal/cli/refs.go
@@ -50,6 +50,9 @@
 	}
 	var refs []operator.Ref
 	for _, name := range args[1:] {
+		if strings.Contains(name, "/") {
+			return nil, usageError("%q: write either KIND NAME... or KIND/NAME...", name)
+		}
 		refs = append(refs, operator.Ref{Kind: kind, Name: name})
 	}
 	return refs, nil
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -70,10 +70,26 @@
 	return t
 }
 
+// ownerTable has one row for each replica that owns rate shards.
 func ownerTable(owners []operator.RateOwner) *table {
-	t := &table{header: []string{"RATE SHARD", "OWNER", "ADDRESS", "EPOCH"}}
+	t := &table{header: []string{"RATE OWNER", "ADDRESS", "SHARDS", "LATEST EPOCH"}}
+	type owned struct {
+		replica uint64
+		address string
+	}
+	shards := map[owned]int{}
+	epochs := map[owned]uint64{}
+	var order []owned
 	for _, o := range owners {
-		t.add(unsigned(o.Shard), strconv.FormatUint(o.Replica, 10), orDash(o.Address), strconv.FormatUint(o.Epoch, 10))
+		key := owned{o.Replica, o.Address}
+		if shards[key] == 0 {
+			order = append(order, key)
+		}
+		shards[key]++
+		epochs[key] = max(epochs[key], o.Epoch)
+	}
+	for _, key := range order {
+		t.add(strconv.FormatUint(key.replica, 10), orDash(key.address), strconv.Itoa(shards[key]), strconv.FormatUint(epochs[key], 10))
 	}
 	return t
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -87,6 +88,11 @@
 	return &status, c.do(ctx, http.MethodGet, pathStatus, nil, &status)
 }
 
+// RemoveReplica takes a control replica out of the membership.
+func (c *Client) RemoveReplica(ctx context.Context, id uint64) error {
+	return c.do(ctx, http.MethodDelete, pathReplicas+strconv.FormatUint(id, 10), nil, &RemovedReplica{})
+}
+
 // Change submits a change until its outcome is known or the context ends. The error is
 // a *Problem when a server answered, or a *NoAnswer.
 func (c *Client) Change(ctx context.Context, change *Change) (*Accepted, error) {
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -2,10 +2,11 @@
 //
 // # Routes
 //
-//	GET  /v1/configuration   documents and keys (without hashes) at the current revision
-//	POST /v1/changes         one change, which takes effect wholly or not at all
-//	GET  /v1/status          control replicas, nodes, targets, and the answering node
-//	GET  /debug/vars         metrics (expvar)
+//	GET    /v1/configuration  documents and keys (without hashes) at the current revision
+//	POST   /v1/changes        one change, which takes effect wholly or not at all
+//	GET    /v1/status         control replicas, nodes, targets, and the answering node
+//	DELETE /v1/replicas/{id}  remove a control replica that does not come back
+//	GET    /debug/vars        metrics (expvar)
 //
 // Every request carries the operators' token as Authorization: Bearer. Errors are
 // RFC 9457 problems with a stable code and, for changes, whether the change applied.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -54,6 +55,7 @@
 	router.HandleFunc(pathConfiguration, h.configuration).Methods(http.MethodGet)
 	router.HandleFunc(pathChanges, h.change).Methods(http.MethodPost)
 	router.HandleFunc(pathStatus, h.status).Methods(http.MethodGet)
+	router.HandleFunc(pathReplicas+"{id:[0-9]+}", h.removeReplica).Methods(http.MethodDelete)
 	router.Handle(pathMetrics, expvar.Handler()).Methods(http.MethodGet)
 	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		newProblem(CodePathUnknown, "there is no %s", r.URL.Path).write(w)
@@ -182,7 +184,7 @@
 
 // logChange writes the audit line of a change.
 func (h *handler) logChange(r *http.Request, change *apiv1.Change, result string, revision uint64) {
-	h.log.Info("operator change", "change_id", change.GetId(), "result", result, "revision", revision, "remote", r.RemoteAddr,
+	h.log.Info("operator change", "change_id", change.GetId(), "result", enumName(result, "CHANGE_RESULT_"), "revision", revision, "remote", r.RemoteAddr,
 		"upserts", len(change.GetUpserts()), "deletes", len(change.GetDeletes()),
 		"issued", len(change.GetIssueKeys()), "withdrawn", len(change.GetWithdrawKeys()))
 }
@@ -251,6 +253,36 @@
 	}
 }
 
+// Membership is what the handler needs of a control replica in its own process to change
+// the set of replicas.
+type Membership interface {
+	Control(ctx context.Context, r *apiv1.ControlRequest) (*apiv1.ControlReply, error)
+}
+
+// removeReplica takes a control replica out of the membership.
+func (h *handler) removeReplica(w http.ResponseWriter, r *http.Request) {
+	membership, ok := h.control.(Membership)
+	if !ok {
+		newProblem(CodeControlUnavailable, "this node has no control replica; ask one that has").write(w)
+		return
+	}
+	id, err := strconv.ParseUint(mux.Vars(r)["id"], 10, 64)
+	if err != nil || id == 0 {
+		newProblem(CodeRequestInvalid, "%q is not the id of a replica", mux.Vars(r)["id"]).write(w)
+		return
+	}
+	reply, err := membership.Control(r.Context(), &apiv1.ControlRequest{Remove: id})
+	h.log.Info("operator removes replica", "replica", id, "remote", r.RemoteAddr, "refused", reply.GetError(), "err", err)
+	switch {
+	case err != nil:
+		newProblem(CodeControlUnavailable, "the leader did not answer: %v", err).write(w)
+	case reply.GetError() != "":
+		newProblem(CodeMembershipRefused, "%s", reply.GetError()).write(w)
+	default:
+		writeJSON(w, http.StatusOK, &RemovedReplica{ID: id})
+	}
+}
+
 // status returns what is known of the fleet and of this node.
 func (h *handler) status(w http.ResponseWriter, r *http.Request) {
 	status := &Status{Node: h.local.LocalStatus()}
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -22,6 +22,7 @@
 	CodeChangeIDReused       Code = "change-id-reused"
 	CodeControlUnavailable   Code = "control-unavailable"
 	CodeChangeUnknown        Code = "change-outcome-unknown"
+	CodeMembershipRefused    Code = "membership-refused"
 )
 
 // statuses holds the HTTP status of each code.
@@ -36,6 +37,7 @@
 	CodeChangeIDReused:       http.StatusConflict,
 	CodeControlUnavailable:   http.StatusServiceUnavailable,
 	CodeChangeUnknown:        http.StatusGatewayTimeout,
+	CodeMembershipRefused:    http.StatusConflict,
 }
 
 // Codes returns every code in no particular order.
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -85,6 +85,11 @@
 	HeardAgeMS int64 `json:"heardAgeMs"`
 }
 
+// RemovedReplica is the answer to the removal of a control replica.
+type RemovedReplica struct {
+	ID uint64 `json:"id"`
+}
+
 // RateOwner is the replica that owns one rate shard.
 type RateOwner struct {
 	Shard   uint32 `json:"shard"`
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -12,6 +12,7 @@
 	pathConfiguration = "/v1/configuration"
 	pathChanges       = "/v1/changes"
 	pathStatus        = "/v1/status"
+	pathReplicas      = "/v1/replicas/"
 	pathMetrics       = "/debug/vars"
 )
 
