--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -21,6 +21,8 @@
 	rnd    *rand.Rand
 	// outbox collects the messages to each replica.
 	outbox map[uint64][]*apiv1.RaftMessage
+	// beforeSync, if set, is called when messages are in the outbox that may overtake a sync.
+	beforeSync func()
 	// rewriteAt is the size at which the log file is rewritten.
 	rewriteAt int64
 	nextRead  uint64
@@ -268,6 +270,9 @@
 	if len(records) == 0 {
 		return nil
 	}
+	if e.beforeSync != nil {
+		e.beforeSync()
+	}
 	return e.log.Append(records)
 }
 
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -172,6 +172,7 @@
 		engine:    newEngine(log, rnd),
 		known:     map[uint64]knownReplica{},
 	}
+	r.engine.beforeSync = r.flush
 	r.confirmer = newConfirmer(r)
 	r.ownership = newOwnership(r)
 	r.owner = rate.NewOwner(r.ownership, newLimits(r.store), o.Clock, o.Rate)
@@ -352,6 +353,9 @@
 
 // flush passes the messages of the engine to the senders.
 func (r *Replica) flush() {
+	if r.senders.ctx.Load() == nil {
+		return // driven by hand, without a network
+	}
 	for id, messages := range r.engine.outbox {
 		delete(r.engine.outbox, id)
 		if address := r.addressOf(id); address != "" {
