--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -25,8 +25,8 @@
 	retired atomic.Bool
 	// silent is set before a silent connection is closed.
 	silent atomic.Bool
-	// lastUsed is the time of the last exchange's end, in Unix nanoseconds.
-	lastUsed atomic.Int64
+	// lastHeard is the time of the last whole answer or pong, in Unix nanoseconds.
+	lastHeard atomic.Int64
 	// pingSent and pongHeard are the numbers of the last ping sent and answered.
 	pingSent  atomic.Uint64
 	pongHeard atomic.Uint64
@@ -57,7 +57,7 @@
 		pong:    make(chan struct{}, 1),
 		wake:    make(chan struct{}, 1),
 	}
-	c.lastUsed.Store(time.Now().UnixNano())
+	c.hear()
 	go c.control.run(session.Done())
 	go c.readControl(reader)
 	go c.monitor()
@@ -118,7 +118,6 @@
 
 // end gives back what begin reserved.
 func (c *conn) end() {
-	c.lastUsed.Store(time.Now().UnixNano())
 	if c.inFlight.Add(-1) == 0 && c.retired.Load() {
 		_ = c.session.Close()
 	}
@@ -166,6 +165,7 @@
 		}
 		if frame.Pong != 0 {
 			c.pongHeard.Store(frame.Pong)
+			c.hear()
 			select {
 			case c.pong <- struct{}{}:
 			default:
@@ -246,8 +246,8 @@
 	return true
 }
 
-// fresh reports whether the connection still answers. A connection that was
-// used lately is trusted; one that was idle is probed with a ping.
+// fresh reports whether the connection still answers. A connection that answered
+// lately is trusted; one that was idle for long is probed with a ping.
 func (c *conn) fresh(ctx context.Context) bool {
 	if !c.longIdle() {
 		return true
@@ -261,15 +261,16 @@
 		c.retire()
 		return false
 	}
-	c.lastUsed.Store(time.Now().UnixNano())
 	return true
 }
 
+// hear notes that the other end has just answered.
+func (c *conn) hear() {
+	c.lastHeard.Store(time.Now().UnixNano())
+}
+
 func (c *conn) longIdle() bool {
-	if c.inFlight.Load() > 1 {
-		return false
-	}
-	return time.Now().UnixNano()-c.lastUsed.Load() > int64(probeAfterIdle)
+	return time.Now().UnixNano()-c.lastHeard.Load() > int64(probeAfterIdle)
 }
 
 // answersPing sends a ping and waits for its answer for probeTimeout at most.
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -62,6 +62,9 @@
 	if x.stop() && !completed {
 		x.interrupt()
 	}
+	if completed {
+		x.conn.hear()
+	}
 	_ = x.stream.Close()
 	releaseReader(x.reader)
 	x.reader = nil
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -27,6 +27,10 @@
 	transport Transport
 	intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
 
+	// ctx ends when the pool is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+
 	mu     sync.RWMutex
 	routes map[string]*route
 	closed bool
@@ -60,7 +64,10 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
+		ctx:       ctx,
+		cancel:    cancel,
 		id:        id,
 		transport: t,
 		intercept: o.Intercept,
@@ -76,6 +83,7 @@
 	routes := p.routes
 	p.routes = nil
 	p.mu.Unlock()
+	p.cancel()
 	for _, r := range routes {
 		r.mu.Lock()
 		attempt := r.dialing
@@ -191,7 +199,7 @@
 
 // dial runs one connection attempt and records its outcome.
 func (p *Pool) dial(r *route, attempt *dialAttempt) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
 	attempt.conn, attempt.err = p.open(ctx, r.address)
 	r.mu.Lock()
