Use the streams of a connection again

Each call opened and closed a yamux stream: four window updates beside two frames. The accepting end now says in its last frame whether it has read the whole request and waits for the next exchange on the stream; the opening end then keeps the stream. Streams that were not needed are closed step by step.

--- a/internal/peer/body.go
+++ b/internal/peer/body.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
@@ -46,19 +47,25 @@
 	_, _ = w.digest.Write(data)
 }
 
-// finish appends the last frame, which may carry the end of the body.
-func (w *bodyWriter) finish(buf *frameBuffer, data []byte, allowanceLeft int) error {
-	w.count(data)
-	w.frame = apiv1.BodyFrame{
-		Data:          data,
-		Last:          true,
-		Length:        w.length,
-		Checksum:      w.digest.Sum64(),
-		AllowanceLeft: uint32(max(allowanceLeft, 0)),
-	}
+// finish appends the last frame of a request, which may carry the end of the body.
+func (w *bodyWriter) finish(buf *frameBuffer, data []byte) error {
+	w.setLast(data)
+	return buf.add(&w.frame)
+}
+
+// finishAnswer appends the last frame of an answer.
+func (w *bodyWriter) finishAnswer(buf *frameBuffer, allowanceLeft int, reuse bool) error {
+	w.setLast(nil)
+	w.frame.AllowanceLeft = uint32(max(allowanceLeft, 0))
+	w.frame.Reuse = reuse
 	return buf.add(&w.frame)
 }
 
+func (w *bodyWriter) setLast(data []byte) {
+	w.count(data)
+	w.frame = apiv1.BodyFrame{Data: data, Last: true, Length: w.length, Checksum: w.digest.Sum64()}
+}
+
 // abort appends a frame that says that the body is not whole.
 func (w *bodyWriter) abort(buf *frameBuffer) error {
 	return buf.add(&apiv1.BodyFrame{Last: true, Aborted: true})
@@ -74,6 +81,8 @@
 	// err is the final state: io.EOF after a whole body.
 	err           error
 	allowanceLeft int
+	// reuse is true when the other end waits for the next exchange.
+	reuse bool
 }
 
 func (r *bodyReader) reset(src *bufio.Reader) {
@@ -122,8 +131,26 @@
 		return
 	}
 	r.allowanceLeft = int(r.frame.AllowanceLeft)
+	r.reuse = r.frame.Reuse
 	r.err = io.EOF
 }
 
+// settle drops the rest of a body that has arrived already. It does not wait.
+func (r *bodyReader) settle() {
+	for r.err == nil && r.frameArrived() {
+		r.next()
+	}
+	if r.whole() {
+		r.rest = nil
+	}
+}
+
+// frameArrived reports whether the next frame is in the read buffer.
+func (r *bodyReader) frameArrived() bool {
+	buffered, _ := r.src.Peek(r.src.Buffered())
+	size, n := protowire.ConsumeVarint(buffered)
+	return n > 0 && uint64(len(buffered)-n) >= size
+}
+
 // whole reports whether the body was read to its end and is whole.
 func (r *bodyReader) whole() bool { return r.err == io.EOF }
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -66,7 +66,7 @@
 	if err := x.addHeader(buf, m, header); err != nil {
 		return err
 	}
-	return errors.Wrap(buf.flush(x.stream), "send header")
+	return x.flushWhole(buf)
 }
 
 func (x *exchange) addHeader(buf *frameBuffer, m apiv1.Method, header proto.Message) error {
@@ -92,10 +92,10 @@
 	w.reset()
 	if body == nil || h.ContentLength == 0 {
 		defer buf.release()
-		if err := w.finish(buf, nil, 0); err != nil {
+		if err := w.finish(buf, nil); err != nil {
 			return err
 		}
-		return errors.Wrap(buf.flush(x.stream), "send header")
+		return x.flushWhole(buf)
 	}
 	if h.ContentLength > 0 && h.ContentLength <= inlineBodyBytes {
 		defer buf.release()
@@ -114,10 +114,19 @@
 	if _, err := io.ReadFull(body, data); err != nil {
 		return errors.Wrapf(errUnsent, "read body: %v", err)
 	}
-	if err := w.finish(buf, data, 0); err != nil {
+	if err := w.finish(buf, data); err != nil {
 		return err
 	}
-	return errors.Wrap(buf.flush(x.stream), "send call")
+	return x.flushWhole(buf)
+}
+
+// flushWhole sends what is left of the request.
+func (x *exchange) flushWhole(buf *frameBuffer) error {
+	if err := buf.flush(x.stream); err != nil {
+		return errors.Wrap(err, "send call")
+	}
+	x.sentWhole.Store(true)
+	return nil
 }
 
 // sendBody sends a body frame by frame. It ends at the end of the body, on its
@@ -133,9 +142,11 @@
 			err = x.endBody(buf, w, data[:n], err)
 		}
 		flushErr := buf.flush(x.stream)
-		if err != nil || flushErr != nil {
-			return
+		if err == nil && flushErr == nil {
+			continue
 		}
+		x.sentWhole.Store(err == io.EOF && flushErr == nil)
+		return
 	}
 }
 
@@ -147,7 +158,7 @@
 		}
 		return cause
 	}
-	if err := w.finish(buf, data, 0); err != nil {
+	if err := w.finish(buf, data); err != nil {
 		return err
 	}
 	return io.EOF
@@ -195,6 +206,7 @@
 	switch err {
 	case nil:
 	case io.EOF:
+		b.exchange.reuse = b.reader.reuse
 		b.exchange.close(true)
 	default:
 		b.failed = b.cause(err)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -18,6 +18,7 @@
 	session Session
 	remote  Identity
 	control *controlWriter
+	idle    idleStreams
 
 	inFlight   atomic.Int64
 	nextNumber atomic.Uint64
@@ -152,6 +153,21 @@
 	}
 }
 
+// openStream returns an idle stream, or a new one.
+func (c *conn) openStream(ctx context.Context) (clientStream, error) {
+	if c.closed() {
+		return clientStream{}, ErrClosed
+	}
+	if stream, ok := c.idle.take(); ok {
+		return stream, nil
+	}
+	stream, err := c.session.Open(ctx)
+	if err != nil {
+		return clientStream{}, err
+	}
+	return clientStream{stream: stream, reader: newReader(stream)}, nil
+}
+
 // readControl handles the frames that the accepting end sends on the control stream.
 func (c *conn) readControl(reader *bufio.Reader) {
 	defer func() { _ = c.session.Close() }()
@@ -177,6 +193,7 @@
 // monitor pings while exchanges are in flight, and closes the connection when
 // it has been silent or idle for too long.
 func (c *conn) monitor() {
+	defer c.idle.closeAll()
 	for c.watchBusy() && c.doze() {
 	}
 }
@@ -189,14 +206,15 @@
 	if c.inFlight.Load() > 0 {
 		return true
 	}
-	idle := time.NewTimer(idleTimeout)
-	defer idle.Stop()
+	c.idle.trim()
+	unused := time.NewTimer(idleTimeout)
+	defer unused.Stop()
 	select {
 	case <-c.session.Done():
 		return false
 	case <-c.wake:
 		return true
-	case <-idle.C:
+	case <-unused.C:
 		c.retire()
 		return true
 	}
@@ -214,6 +232,7 @@
 			return false
 		case <-ticker.C:
 		}
+		c.idle.trim()
 		if c.pongHeard.Load() == c.pingSent.Load() {
 			missed = 0
 		} else {
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -1,9 +1,7 @@
 package peer
 
 import (
-	"bufio"
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 )
@@ -15,12 +13,15 @@
 type exchange struct {
 	conn    *conn
 	address string
-	stream  net.Conn
-	reader  *bufio.Reader
-	number  uint64
-	stop    func() bool
-	ended   atomic.Bool
-	ctx     context.Context
+	clientStream
+	number uint64
+	stop   func() bool
+	ended  atomic.Bool
+	ctx    context.Context
+	// sentWhole is set once the whole request was sent, reuse when the other end waits for
+	// the next exchange on the stream.
+	sentWhole atomic.Bool
+	reuse     bool
 }
 
 // openExchange reserves a connection and opens a stream on it. An error means
@@ -30,18 +31,17 @@
 	if err != nil {
 		return nil, &CallError{Address: address, Err: err}
 	}
-	stream, err := c.session.Open(ctx)
+	stream, err := c.openStream(ctx)
 	if err != nil {
 		c.end()
 		return nil, &CallError{Address: address, Silent: c.silent.Load(), Err: err}
 	}
 	x := &exchange{
-		conn:    c,
-		address: address,
-		stream:  stream,
-		reader:  newReader(stream),
-		number:  c.nextNumber.Add(1),
-		ctx:     ctx,
+		conn:         c,
+		address:      address,
+		clientStream: stream,
+		number:       c.nextNumber.Add(1),
+		ctx:          ctx,
 	}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
 	return x, nil
@@ -59,15 +59,18 @@
 	if x.ended.Swap(true) {
 		return
 	}
-	if x.stop() && !completed {
+	uninterrupted := x.stop()
+	if uninterrupted && !completed {
 		x.interrupt()
 	}
 	if completed {
 		x.conn.hear()
 	}
-	_ = x.stream.Close()
-	releaseReader(x.reader)
-	x.reader = nil
+	if completed && uninterrupted && x.reuse && x.sentWhole.Load() {
+		x.conn.idle.put(x.clientStream)
+	} else {
+		x.clientStream.close()
+	}
 	x.conn.end()
 }
 
--- a/internal/peer/incoming.go
+++ b/internal/peer/incoming.go
@@ -37,6 +37,8 @@
 	answered bool
 	closed   bool
 	refused  bool
+	// reuse is true once the caller was told that the stream can be used again.
+	reuse bool
 	// hold is true while parts of the body wait for Finish, to leave in one write with it.
 	hold bool
 }
@@ -55,40 +57,38 @@
 	return in
 }
 
-func (ss *serverSession) serveCall(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) error {
+func (ss *serverSession) serveCall(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) bool {
 	call := &apiv1.CallHeader{}
 	if err := readFrame(reader, call, maxHeaderBytes); err != nil {
-		return errors.Wrap(err, "receive call")
+		return false
 	}
-	_ = stream.SetReadDeadline(time.Time{})
 	ctx, end := ss.begin(header.Number, stream)
 	defer end()
 	in := ss.newIncoming(ctx, stream, reader, call)
-	defer in.end()
 	if refusal := ss.refuseCall(ss.server.call == nil); refusal != nil {
 		return in.refuse(refusal)
 	}
 	ss.server.call(ctx, in)
-	return nil
+	return in.end()
 }
 
-func (ss *serverSession) serveAttach(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) error {
+func (ss *serverSession) serveAttach(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) bool {
 	attach := &apiv1.AttachRequest{}
 	if err := readFrame(reader, attach, maxHeaderBytes); err != nil {
-		return errors.Wrap(err, "receive attach")
+		return false
 	}
-	_ = stream.SetReadDeadline(time.Time{})
 	ctx, end := ss.begin(header.Number, stream)
 	defer end()
 	in := ss.newIncoming(ctx, stream, reader, &apiv1.CallHeader{Key: attach.Key})
-	defer in.end()
+	// The request has no body.
+	in.body.err = io.EOF
 	if refusal := ss.refuseCall(ss.server.attach == nil); refusal != nil {
 		// The call itself may have run; only asking for it was refused.
 		refusal.Ran = outcome.RanUnknown
 		return in.refuse(refusal)
 	}
 	ss.server.attach(ctx, attach.Key, in)
-	return nil
+	return in.end()
 }
 
 // refuseCall returns the refusal of a call that no handler will see, or nil.
@@ -102,8 +102,9 @@
 	return nil
 }
 
-func (in *IncomingCall) refuse(r *outcome.Refusal) error {
-	return in.Answer(&apiv1.AnswerHeader{Refusal: r.Message()})
+func (in *IncomingCall) refuse(r *outcome.Refusal) bool {
+	_ = in.Answer(&apiv1.AnswerHeader{Refusal: r.Message()})
+	return in.end()
 }
 
 // Answer sends the header of the answer and sets its key. A header that
@@ -157,11 +158,17 @@
 		return errAnswered
 	}
 	in.closed = true
-	if err := in.out.finish(in.buf, nil, allowanceLeft); err != nil {
+	in.body.settle()
+	reuse := in.body.whole() && in.ctx.Err() == nil
+	if err := in.out.finishAnswer(in.buf, allowanceLeft, reuse); err != nil {
 		return err
 	}
 	in.extend()
-	return in.failed(in.buf.flush(in.stream))
+	if err := in.buf.flush(in.stream); err != nil {
+		return in.failed(err)
+	}
+	in.reuse = reuse
+	return nil
 }
 
 // Abort ends the exchange without a whole answer. The caller gets an error.
@@ -199,8 +206,9 @@
 	return errors.Wrap(err, "send answer")
 }
 
-// end closes what the handler left open. A refusal needs no Finish.
-func (in *IncomingCall) end() {
+// end closes what the handler left open. A refusal needs no Finish. It returns
+// true when the stream is ready for the next exchange.
+func (in *IncomingCall) end() bool {
 	if in.refused && !in.closed {
 		_ = in.Finish(0)
 	}
@@ -208,4 +216,5 @@
 	in.scoped.end()
 	in.buf.release()
 	in.buf = nil
+	return in.reuse
 }
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -28,8 +28,6 @@
 	idleTimeout = 5 * time.Minute
 	// writeTimeout bounds how long a write to a stream may make no progress.
 	writeTimeout = 10 * time.Second
-	// headerTimeout bounds the arrival of the headers of an exchange once its stream is open.
-	headerTimeout = 5 * time.Second
 
 	// firstBackoff and maxBackoff bound the pause after a failed connection attempt.
 	firstBackoff = 50 * time.Millisecond
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -23,8 +23,10 @@
 	remote  Identity
 	control atomic.Pointer[controlWriter]
 	streams sync.WaitGroup
-	open    atomic.Int64
-	pings   atomic.Uint64
+	// open counts streams, active those that carry an exchange.
+	open   atomic.Int64
+	active atomic.Int64
+	pings  atomic.Uint64
 
 	mu      sync.Mutex
 	running map[uint64]*incoming
@@ -222,19 +224,31 @@
 	ss.streams.Go(func() {
 		defer ss.open.Add(-1)
 		defer func() { _ = stream.Close() }()
-		_ = ss.serveStream(stream)
+		ss.serveStream(stream)
 	})
 }
 
-// serveStream reads the headers of an exchange and runs its handler.
-func (ss *serverSession) serveStream(stream net.Conn) error {
+// serveStream serves one exchange after the other until one of them does not
+// leave the stream ready for the next.
+func (ss *serverSession) serveStream(stream net.Conn) {
 	reader := newReader(stream)
 	defer releaseReader(reader)
-	_ = stream.SetReadDeadline(time.Now().Add(headerTimeout))
+	for ss.serveExchange(stream, reader) {
+		if b, ok := stream.(shrinker); ok {
+			b.Shrink()
+		}
+	}
+}
+
+// serveExchange reads the headers of an exchange and runs its handler. It
+// returns true when the other end was told that the stream can be used again.
+func (ss *serverSession) serveExchange(stream net.Conn, reader *bufio.Reader) bool {
 	var header apiv1.StreamHeader
 	if err := readFrame(reader, &header, maxControlBytes); err != nil {
-		return err
+		return false
 	}
+	ss.active.Add(1)
+	defer ss.active.Add(-1)
 	switch header.Method {
 	case apiv1.Method_METHOD_CALL:
 		return ss.serveCall(stream, reader, &header)
@@ -256,20 +270,20 @@
 }
 
 func (ss *serverSession) full() bool {
-	return ss.open.Load() > int64(ss.server.options.MaxStreams)
+	return ss.active.Load() > int64(ss.server.options.MaxStreams)
 }
 
-func (ss *serverSession) serveUnary(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) error {
+func (ss *serverSession) serveUnary(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) bool {
 	handler, ok := ss.server.unary[header.Method]
 	if !ok {
-		return writeFrames(stream, &apiv1.RpcStatus{Error: "method " + header.Method.String() + " is not served here"})
+		return ss.refuseUnary(stream, "method "+header.Method.String()+" is not served here")
 	}
 	if ss.full() {
-		return writeFrames(stream, &apiv1.RpcStatus{Error: "too many exchanges on this connection"})
+		return ss.refuseUnary(stream, "too many exchanges on this connection")
 	}
 	req := handler.newRequest()
 	if err := readFrame(reader, req, maxMessageBytes); err != nil {
-		return errors.Wrap(err, "receive request")
+		return false
 	}
 	ctx, end := ss.begin(header.Number, stream)
 	defer end()
@@ -279,9 +293,19 @@
 		defer cancel()
 	}
 	resp, err := handler.run(ctx, ss.remote, req)
+	if cause := context.Cause(ctx); errors.Is(cause, ErrCancelled) || errors.Is(cause, ErrSessionLost) {
+		return false
+	}
 	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err != nil {
-		return writeFrames(stream, &apiv1.RpcStatus{Error: err.Error()})
+		return writeFrames(stream, &apiv1.RpcStatus{Error: err.Error(), Reuse: true}) == nil
 	}
-	return writeFrames[proto.Message](stream, &apiv1.RpcStatus{}, resp)
+	return writeFrames[proto.Message](stream, &apiv1.RpcStatus{Reuse: true}, resp) == nil
+}
+
+// refuseUnary answers without reading the request, so the stream can't be used again.
+func (ss *serverSession) refuseUnary(stream net.Conn, reason string) bool {
+	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = writeFrames(stream, &apiv1.RpcStatus{Error: reason})
+	return false
 }
--- a/internal/peer/unary.go
+++ b/internal/peer/unary.go
@@ -48,10 +48,12 @@
 	if err := buf.flush(x.stream); err != nil {
 		return errors.Wrap(err, "send request")
 	}
+	x.sentWhole.Store(true)
 	var status apiv1.RpcStatus
 	if err := readFrame(x.reader, &status, maxHeaderBytes); err != nil {
 		return errors.Wrap(err, "receive status")
 	}
+	x.reuse = status.Reuse
 	if status.Error != "" {
 		return &RemoteError{Text: status.Error}
 	}
