Read bodies without a copy of each frame

The generated decoder copies the data of each body frame, and io.Copy brought a buffer of its own. Body frames are decoded in place with protowire; frames that exceed the read buffer use pooled buffers, as do the senders. A handler may leave a goroutine behind that still reads the request: the read buffer is handed on only once that goroutine has returned.

--- a/internal/peer/batch.go
+++ b/internal/peer/batch.go
@@ -21,7 +21,10 @@
 )
 
 // batchPool holds the buffers of batches. A connection has none while nothing waits.
-var batchPool = sync.Pool{New: func() any { return make([]byte, 0, batchBufferBytes) }}
+var batchPool = sync.Pool{New: func() any {
+	batch := make([]byte, 0, batchBufferBytes)
+	return &batch
+}}
 
 // batchConn joins the writes that come while an earlier one is under way into
 // one, which saves records and system calls.
@@ -32,7 +35,7 @@
 	// filled is signalled when there is something to write, drained when there is room.
 	filled  *sync.Cond
 	drained *sync.Cond
-	pending []byte
+	pending *[]byte
 	err     error
 }
 
@@ -48,16 +51,16 @@
 func (b *batchConn) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.pending) >= maxBatchBytes && b.err == nil {
+	for b.pending != nil && len(*b.pending) >= maxBatchBytes && b.err == nil {
 		b.drained.Wait()
 	}
 	if b.err != nil {
 		return 0, b.err
 	}
 	if b.pending == nil {
-		b.pending = batchPool.Get().([]byte)
+		b.pending = batchPool.Get().(*[]byte)
 	}
-	b.pending = append(b.pending, p...)
+	*b.pending = append(*b.pending, p...)
 	if !precedesData(p) {
 		b.filled.Signal()
 	}
@@ -96,9 +99,9 @@
 		if batch == nil {
 			return
 		}
-		_, err := b.Conn.Write(batch)
-		//lint:ignore SA6002 the allocation of a slice header is small beside the buffer
-		batchPool.Put(batch[:0])
+		_, err := b.Conn.Write(*batch)
+		*batch = (*batch)[:0]
+		batchPool.Put(batch)
 		if err != nil {
 			b.fail(err)
 			return
@@ -107,10 +110,10 @@
 }
 
 // take waits for queued bytes. It returns nil when the connection has failed.
-func (b *batchConn) take() []byte {
+func (b *batchConn) take() *[]byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.pending) == 0 && b.err == nil {
+	for b.pending == nil && b.err == nil {
 		b.filled.Wait()
 	}
 	if b.err != nil {
--- a/internal/peer/body.go
+++ b/internal/peer/body.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
@@ -74,10 +77,12 @@
 // bodyReader joins frames into a body and checks its length and checksum.
 type bodyReader struct {
 	src    *bufio.Reader
-	frame  apiv1.BodyFrame
+	frame  bodyFrame
 	rest   []byte
 	length uint64
 	digest xxhash.Digest
+	// scratch holds a frame that exceeds the read buffer of the stream.
+	scratch *[]byte
 	// err is the final state: io.EOF after a whole body.
 	err           error
 	allowanceLeft int
@@ -85,6 +90,12 @@
 	reuse bool
 }
 
+// scratchPool holds buffers for one body frame.
+var scratchPool = sync.Pool{New: func() any {
+	buf := make([]byte, maxFrameBytes)
+	return &buf
+}}
+
 func (r *bodyReader) reset(src *bufio.Reader) {
 	*r = bodyReader{src: src}
 	r.digest.Reset()
@@ -93,45 +104,101 @@
 // Read returns the next part of the body, io.EOF after the whole body, and
 // io.ErrUnexpectedEOF when the body is not whole.
 func (r *bodyReader) Read(p []byte) (int, error) {
+	if err := r.fill(); err != nil {
+		return 0, err
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+// WriteTo writes the rest of the body to w, without a copy of its own.
+func (r *bodyReader) WriteTo(w io.Writer) (int64, error) {
+	var total int64
+	for {
+		if err := r.fill(); err == io.EOF {
+			return total, nil
+		} else if err != nil {
+			return total, err
+		}
+		n, err := w.Write(r.rest)
+		total += int64(n)
+		r.rest = r.rest[n:]
+		if err != nil {
+			return total, err
+		}
+	}
+}
+
+// fill reads frames until there is data, or returns the final state.
+func (r *bodyReader) fill() error {
 	for len(r.rest) == 0 {
 		if r.err != nil {
-			return 0, r.err
+			r.release()
+			return r.err
 		}
 		r.next()
 	}
-	n := copy(p, r.rest)
-	r.rest = r.rest[n:]
-	return n, nil
+	return nil
 }
 
-// next reads one frame.
+// release gives back the scratch buffer. No data of the body is left then.
+func (r *bodyReader) release() {
+	if r.scratch != nil {
+		scratchPool.Put(r.scratch)
+		r.scratch = nil
+	}
+}
+
+// next reads one frame. Its data is valid until the next frame is read.
 func (r *bodyReader) next() {
-	r.frame.Reset()
-	if err := readFrame(r.src, &r.frame, maxFrameBytes); err != nil {
-		r.err = io.ErrUnexpectedEOF
-		return
+	data, err := r.readRaw()
+	if err == nil {
+		r.frame, err = parseBodyFrame(data)
 	}
-	if r.frame.Aborted {
+	if err != nil || r.frame.aborted {
 		r.err = io.ErrUnexpectedEOF
 		return
 	}
-	r.rest = r.frame.Data
+	r.rest = r.frame.data
 	r.length += uint64(len(r.rest))
 	_, _ = r.digest.Write(r.rest)
-	if r.frame.Last {
+	if r.frame.last {
 		r.end()
 	}
 }
 
+// readRaw returns the bytes of the next frame, from the read buffer if they fit.
+func (r *bodyReader) readRaw() ([]byte, error) {
+	size, err := binary.ReadUvarint(r.src)
+	if err != nil {
+		return nil, err
+	}
+	if size > maxFrameBytes {
+		return nil, errors.Errorf("body frame has %d bytes; at most %d are accepted", size, maxFrameBytes)
+	}
+	if int(size) <= r.src.Size() {
+		data, err := r.src.Peek(int(size))
+		_, _ = r.src.Discard(len(data))
+		return data, err
+	}
+	if r.scratch == nil {
+		r.scratch = scratchPool.Get().(*[]byte)
+	}
+	data := (*r.scratch)[:size]
+	_, err = io.ReadFull(r.src, data)
+	return data, err
+}
+
 // end checks the last frame. Data of a body that is not whole is dropped.
 func (r *bodyReader) end() {
-	if r.frame.Length != r.length || r.frame.Checksum != r.digest.Sum64() {
+	if r.frame.length != r.length || r.frame.checksum != r.digest.Sum64() {
 		r.rest = nil
 		r.err = io.ErrUnexpectedEOF
 		return
 	}
-	r.allowanceLeft = int(r.frame.AllowanceLeft)
-	r.reuse = r.frame.Reuse
+	r.allowanceLeft = int(r.frame.allowanceLeft)
+	r.reuse = r.frame.reuse
 	r.err = io.EOF
 }
 
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -26,6 +27,8 @@
 // AllowanceLeft returns the extra attempts that come back with the answer. It
 // returns false until the body was read to its end.
 func (a *Answer) AllowanceLeft() (int, bool) {
+	a.body.mu.Lock()
+	defer a.body.mu.Unlock()
 	return a.body.reader.allowanceLeft, a.body.reader.whole()
 }
 
@@ -110,7 +113,9 @@
 }
 
 func (x *exchange) sendInline(buf *frameBuffer, w *bodyWriter, body io.Reader, length int) error {
-	data := make([]byte, length)
+	scratch := scratchPool.Get().(*[]byte)
+	defer scratchPool.Put(scratch)
+	data := (*scratch)[:length]
 	if _, err := io.ReadFull(body, data); err != nil {
 		return errors.Wrapf(errUnsent, "read body: %v", err)
 	}
@@ -133,7 +138,9 @@
 // error, and when the exchange has ended.
 func (x *exchange) sendBody(buf *frameBuffer, w *bodyWriter, body io.Reader) {
 	defer buf.release()
-	data := make([]byte, maxFrameData)
+	scratch := scratchPool.Get().(*[]byte)
+	defer scratchPool.Put(scratch)
+	data := (*scratch)[:maxFrameData]
 	for {
 		n, err := body.Read(data)
 		if err == nil {
@@ -192,6 +199,7 @@
 // answerBody reads the body of an answer and ends the exchange with it.
 type answerBody struct {
 	exchange *exchange
+	mu       sync.Mutex
 	reader   bodyReader
 	// failed is the error of a body that is not whole, once the exchange has ended.
 	failed error
@@ -199,21 +207,46 @@
 
 // Read returns the next part of the body.
 func (b *answerBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.failed != nil {
 		return 0, b.failed
 	}
 	n, err := b.reader.Read(p)
-	switch err {
-	case nil:
-	case io.EOF:
+	if err != nil {
+		err = b.finish(err)
+	}
+	return n, err
+}
+
+// WriteTo writes the rest of the body to w.
+func (b *answerBody) WriteTo(w io.Writer) (int64, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failed != nil {
+		return 0, b.failed
+	}
+	n, err := b.reader.WriteTo(w)
+	if final := b.reader.err; final != nil && len(b.reader.rest) == 0 {
+		final = b.finish(final)
+		if err != nil && final != io.EOF {
+			err = final
+		}
+	}
+	return n, err
+}
+
+// finish ends the exchange in the final state of the body, and returns that
+// state as the caller sees it.
+func (b *answerBody) finish(state error) error {
+	if state == io.EOF {
 		b.exchange.reuse = b.reader.reuse
 		b.exchange.close(true)
-	default:
-		b.failed = b.cause(err)
-		b.exchange.close(false)
-		err = b.failed
+		return state
 	}
-	return n, err
+	b.failed = b.cause(state)
+	b.exchange.close(false)
+	return b.failed
 }
 
 // cause returns io.ErrUnexpectedEOF, or a CallError when the connection or the context is at fault.
@@ -234,11 +267,20 @@
 	}
 }
 
-// Close ends the exchange. A call whose answer was not read to the end is cancelled.
+// Close ends the exchange. A call whose answer was not read to the end is
+// cancelled. A Read on another goroutine returns.
 func (b *answerBody) Close() error {
+	if !b.mu.TryLock() {
+		b.exchange.interrupt()
+		b.mu.Lock()
+	}
+	defer b.mu.Unlock()
 	if b.failed == nil && !b.reader.whole() {
 		b.failed = io.ErrClosedPipe
 	}
+	b.exchange.reuse = b.reader.reuse
 	b.exchange.close(b.reader.whole())
+	b.reader.rest = nil
+	b.reader.release()
 	return nil
 }
--- a/internal/peer/incoming.go
+++ b/internal/peer/incoming.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,45 @@
 	"github.com/guavaford/guavaford/internal/outcome"
 )
 
+// incomingBody is the body of a request. A handler may leave it to a goroutine
+// that still reads when the handler has answered and returned.
+type incomingBody struct {
+	mu     sync.Mutex
+	reader bodyReader
+	closed bool
+}
+
+// Read returns the next part of the body.
+func (b *incomingBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return b.reader.Read(p)
+}
+
+// settle closes the body and reports whether it has arrived wholly. It does
+// not wait for a goroutine that still reads.
+func (b *incomingBody) settle() bool {
+	if !b.mu.TryLock() {
+		return false
+	}
+	defer b.mu.Unlock()
+	b.reader.settle()
+	b.closed = true
+	return b.reader.whole()
+}
+
+// close waits for a goroutine that still reads. The read buffer is free then.
+func (b *incomingBody) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.reader.rest = nil
+	b.reader.release()
+}
+
 // retryFullAfter is the pause that a caller is told when a connection carries too many exchanges.
 const retryFullAfter = 50 * time.Millisecond
 
@@ -31,8 +71,7 @@
 	ctx      context.Context
 	stream   net.Conn
 	buf      *frameBuffer
-	body     bodyReader
-	scoped   *scopedBody
+	body     incomingBody
 	out      bodyWriter
 	answered bool
 	closed   bool
@@ -50,10 +89,9 @@
 
 func (ss *serverSession) newIncoming(ctx context.Context, stream net.Conn, reader *bufio.Reader, header *apiv1.CallHeader) *IncomingCall {
 	in := &IncomingCall{Header: header, From: ss.remote, ctx: ctx, stream: stream, buf: newFrameBuffer()}
-	in.body.reset(reader)
+	in.body.reader.reset(reader)
 	in.out.reset()
-	in.scoped = &scopedBody{stream: stream, reader: &in.body}
-	in.Body = in.scoped
+	in.Body = &in.body
 	return in
 }
 
@@ -81,7 +119,7 @@
 	defer end()
 	in := ss.newIncoming(ctx, stream, reader, &apiv1.CallHeader{Key: attach.Key})
 	// The request has no body.
-	in.body.err = io.EOF
+	in.body.reader.err = io.EOF
 	if refusal := ss.refuseCall(ss.server.attach == nil); refusal != nil {
 		// The call itself may have run; only asking for it was refused.
 		refusal.Ran = outcome.RanUnknown
@@ -148,6 +186,16 @@
 	return len(p), nil
 }
 
+// ReadFrom writes all of src as parts of the answer's body.
+func (in *IncomingCall) ReadFrom(src io.Reader) (int64, error) {
+	scratch := scratchPool.Get().(*[]byte)
+	defer scratchPool.Put(scratch)
+	// writerOnly keeps io.CopyBuffer from calling ReadFrom again.
+	return io.CopyBuffer(writerOnly{in}, src, (*scratch)[:maxFrameData])
+}
+
+type writerOnly struct{ io.Writer }
+
 // Finish ends the answer's body and gives back the extra attempts that were
 // lent with the call and not used.
 func (in *IncomingCall) Finish(allowanceLeft int) error {
@@ -158,8 +206,7 @@
 		return errAnswered
 	}
 	in.closed = true
-	in.body.settle()
-	reuse := in.body.whole() && in.ctx.Err() == nil
+	reuse := in.body.settle() && in.ctx.Err() == nil
 	if err := in.out.finishAnswer(in.buf, allowanceLeft, reuse); err != nil {
 		return err
 	}
@@ -213,8 +260,12 @@
 		_ = in.Finish(0)
 	}
 	in.Abort()
-	in.scoped.end()
 	in.buf.release()
 	in.buf = nil
+	if !in.reuse {
+		// Unblocks a goroutine of the handler that still reads the body.
+		_ = in.stream.SetReadDeadline(past)
+	}
+	in.body.close()
 	return in.reuse
 }
