--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,6 +41,7 @@
 	root := &cli.Command{
 		Name:                  "guavaford",
 		Usage:                 "overload control for service call graphs",
+		Description:           exitHelp(),
 		Version:               Version,
 		HideVersion:           true,
 		EnableShellCompletion: true,
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -1,6 +1,9 @@
 package cli
 
 import (
+	"fmt"
+	"strings"
+
 	"github.com/pkg/errors"
 
 	"github.com/guavaford/guavaford/internal/operator"
@@ -30,6 +33,34 @@
 	ExitChangeIDReused = 9
 )
 
+// exitMeaning explains one exit code in the help and in docs/OPERATORS.md.
+type exitMeaning struct {
+	code    int
+	meaning string
+}
+
+var exitMeanings = []exitMeaning{
+	{ExitOK, "done; for node: stopped as planned"},
+	{ExitFailure, "any other failure"},
+	{ExitUsage, "faulty command line or settings"},
+	{ExitInvalid, "the configuration is not or would not be valid; nothing was changed"},
+	{ExitConflict, "the expected revision is not the current one; nothing was changed"},
+	{ExitNotFound, "a document, key or drain does not exist"},
+	{ExitToken, "the server refused the operators' token"},
+	{ExitUnavailable, "no server or no quorum answered; nothing was changed"},
+	{ExitUnknown, "the change may or may not take effect; resend it with the same id"},
+	{ExitChangeIDReused, "the change id was used for another change"},
+}
+
+// exitHelp lists the exit codes for the help of the root command.
+func exitHelp() string {
+	lines := []string{"Exit codes:"}
+	for _, m := range exitMeanings {
+		lines = append(lines, fmt.Sprintf("  %d  %s", m.code, m.meaning))
+	}
+	return strings.Join(lines, "\n")
+}
+
 // exitError is an error with its exit code.
 type exitError struct {
 	code int
--- a/internal/config/target.go
+++ b/internal/config/target.go
@@ -21,7 +21,7 @@
 	ColdStart time.Duration
 	// Draining is true while the target must take no new work.
 	Draining bool
-	// MaxConnections caps the connections to the target; 0 means no cap.
+	// MaxConnections caps the connections to the target, and with them Slots; 0 means no cap.
 	MaxConnections int
 }
 
@@ -84,12 +84,20 @@
 			}
 		}
 	}
-	if slots > 0 && (announcedSlots <= 0 || slots < announcedSlots) {
-		policy.Slots = slots
-	}
+	policy.Slots = lower(policy.Slots, slots)
+	// A connection to a target carries one request at a time.
+	policy.Slots = lower(policy.Slots, policy.MaxConnections)
 	return policy
 }
 
+// lower returns the lower of two caps, of which 0 is none.
+func lower(a, b int) int {
+	if a <= 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
+
 // apply takes over the fields that a document sets, except the slots.
 func (p *TargetPolicy) apply(spec *TargetSpec) {
 	if len(spec.Labels) > 0 {
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -75,7 +75,7 @@
 
 // newProblem returns a problem of the code for a request that changed nothing.
 func newProblem(code Code, format string, args ...any) *Problem {
-	status := statuses[code]
+	status := code.Status()
 	return &Problem{Title: http.StatusText(status), Status: status, Code: code, Applied: AppliedNo, Detail: fmt.Sprintf(format, args...)}
 }
 
@@ -115,3 +115,8 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(value)
 }
+
+// Status returns the HTTP status of the code.
+func (c Code) Status() int {
+	return statuses[c]
+}
