--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -82,6 +82,7 @@
 // failReads answers all waiting reads when leadership ends.
 func (c *Core) failReads() {
 	for _, read := range c.lead.reads {
+		read.index = 0
 		c.answerRead(read, false)
 	}
 	c.lead.reads = nil
--- /dev/null
+++ b/internal/vfs/vfs_test.go
@@ -0,0 +1,84 @@
+package vfs
+
+import (
+	"io/fs"
+	"math/rand/v2"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSameRulesOnBothFileSystems runs the operations that the log needs on files and in memory.
+func TestSameRulesOnBothFileSystems(t *testing.T) {
+	for name, fsys := range map[string]FS{"os": OS{}, "mem": NewMem()} {
+		t.Run(name, func(t *testing.T) {
+			dir := filepath.Join(t.TempDir(), "data")
+			require.NoError(t, fsys.MkdirAll(dir))
+			path := filepath.Join(dir, "a")
+			_, err := fsys.ReadFile(path)
+			require.ErrorIs(t, err, fs.ErrNotExist)
+			f, err := fsys.Create(path)
+			require.NoError(t, err)
+			_, err = f.Write([]byte("hello world"))
+			require.NoError(t, err)
+			require.NoError(t, f.Sync())
+			require.NoError(t, f.Truncate(5))
+			_, err = f.Write([]byte("!"))
+			require.NoError(t, err)
+			require.NoError(t, f.Close())
+			require.NoError(t, fsys.Rename(path, filepath.Join(dir, "b")))
+			require.NoError(t, fsys.SyncDir(dir))
+			names, err := fsys.List(dir)
+			require.NoError(t, err)
+			require.Equal(t, []string{"b"}, names)
+			data, err := fsys.ReadFile(filepath.Join(dir, "b"))
+			require.NoError(t, err)
+			require.Equal(t, "hello!", string(data))
+
+			lock, err := fsys.Lock(filepath.Join(dir, "lock"))
+			require.NoError(t, err)
+			_, err = fsys.Lock(filepath.Join(dir, "lock"))
+			require.ErrorIs(t, err, ErrLocked)
+			require.NoError(t, lock.Close())
+			lock, err = fsys.Lock(filepath.Join(dir, "lock"))
+			require.NoError(t, err)
+			require.NoError(t, lock.Close())
+		})
+	}
+}
+
+func TestCrashLosesWhatWasNotSynced(t *testing.T) {
+	m := NewMem()
+	f, err := m.Create("d/a")
+	require.NoError(t, err)
+	_, _ = f.Write([]byte("synced"))
+	require.NoError(t, f.Sync())
+	require.NoError(t, m.SyncDir("d"))
+	_, _ = f.Write([]byte("not"))
+	require.NoError(t, m.Rename("d/a", "d/renamed"))
+	_, err = m.Create("d/b")
+	require.NoError(t, err)
+	m.Crash()
+	_, err = f.Write([]byte("x"))
+	require.ErrorIs(t, err, ErrCrashed)
+	m.Restart(rand.New(rand.NewPCG(1, 1)))
+	names, err := m.List("d")
+	require.NoError(t, err)
+	require.Equal(t, []string{"a"}, names)
+	data, err := m.ReadFile("d/a")
+	require.NoError(t, err)
+	require.Contains(t, "syncednot", string(data))
+	require.GreaterOrEqual(t, len(data), len("synced"))
+}
+
+func TestDiskFullWritesAPart(t *testing.T) {
+	m := NewMem()
+	m.SetFaults(Faults{Capacity: 4})
+	f, err := m.Create("d/a")
+	require.NoError(t, err)
+	n, err := f.Write([]byte("123456"))
+	require.Equal(t, 4, n)
+	require.ErrorIs(t, err, syscall.ENOSPC)
+}
--- a/internal/wal/frame.go
+++ b/internal/wal/frame.go
@@ -47,13 +47,14 @@
 
 // readFrame decodes the frame at the start of data, and returns its payload and total length.
 func readFrame(data []byte) (payload []byte, length int, state frameState) {
-	if len(data) < headerBytes {
-		return nil, 0, tornUnless(len(data) >= markBytes && binary.LittleEndian.Uint32(data) != startMark && !allZero(data))
+	start := data[:min(markBytes, len(data))]
+	if !isMark(start, startMark) {
+		return nil, 0, unlessDamaged(cutShort(start, startMark) && allZero(data[len(start):]))
 	}
-	if binary.LittleEndian.Uint32(data) != startMark {
-		return nil, 0, tornUnless(!allZero(data))
+	if len(data) < headerBytes {
+		return nil, 0, frameTorn
 	}
-	size := int(binary.LittleEndian.Uint32(data[4:]))
+	size := int(binary.LittleEndian.Uint32(data[markBytes:]))
 	length = headerBytes + size + markBytes
 	if size > maxFrameBytes {
 		return nil, 0, frameDamaged
@@ -61,20 +62,37 @@
 	if len(data) < length {
 		return nil, 0, frameTorn
 	}
-	end := binary.LittleEndian.Uint32(data[length-markBytes:])
 	payload = data[headerBytes : headerBytes+size]
-	if xxhash.Sum64(payload) == binary.LittleEndian.Uint64(data[8:]) && end == endMark {
-		return payload, length, frameValid
+	end := data[length-markBytes : length]
+	if !isMark(end, endMark) {
+		return nil, 0, unlessDamaged(cutShort(end, endMark))
+	}
+	if xxhash.Sum64(payload) != binary.LittleEndian.Uint64(data[markBytes+4:]) {
+		return nil, 0, frameDamaged
+	}
+	return payload, length, frameValid
+}
+
+func isMark(data []byte, mark uint32) bool {
+	return len(data) == markBytes && binary.LittleEndian.Uint32(data) == mark
+}
+
+// cutShort reports whether the write of a mark may have ended within it: it holds the first
+// bytes of the mark, and nothing or zeros behind them.
+func cutShort(data []byte, mark uint32) bool {
+	whole := binary.LittleEndian.AppendUint32(nil, mark)
+	written := 0
+	for written < len(data) && data[written] == whole[written] {
+		written++
 	}
-	// A cut write leaves no end mark; zeros stand where blocks were never written.
-	return nil, 0, tornUnless(end != 0)
+	return written < markBytes && allZero(data[written:])
 }
 
-func tornUnless(damaged bool) frameState {
-	if damaged {
-		return frameDamaged
+func unlessDamaged(torn bool) frameState {
+	if torn {
+		return frameTorn
 	}
-	return frameTorn
+	return frameDamaged
 }
 
 func allZero(data []byte) bool {
