--- a/internal/runrecord/client.go
+++ b/internal/runrecord/client.go
@@ -72,18 +72,30 @@
 	return err
 }
 
+// DeclareLost records that the attempt of a claim may have run and that its answer can't be
+// had: its node restarted or no longer knows it. An answer that the node itself records
+// later still replaces this.
+func (c *Client) DeclareLost(ctx context.Context, claim *apiv1.RunClaim) error {
+	return c.Finish(ctx, outcomeOf(claim, apiv1.Ran_RAN_UNKNOWN))
+}
+
 // release says that the attempt of a claim was not run.
 func (c *Client) release(ctx context.Context, claim *apiv1.RunClaim) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	_ = c.Finish(ctx, &apiv1.RunFinish{
+	_ = c.Finish(ctx, outcomeOf(claim, apiv1.Ran_RAN_NO))
+}
+
+// outcomeOf returns an outcome without an answer for the attempt of a claim.
+func outcomeOf(claim *apiv1.RunClaim, ran apiv1.Ran) *apiv1.RunFinish {
+	return &apiv1.RunFinish{
 		Organisation: claim.GetOrganisation(),
 		Key:          claim.GetKey(),
 		Node:         claim.GetNode(),
 		Incarnation:  claim.GetIncarnation(),
 		Number:       claim.GetNumber(),
-		Ran:          apiv1.Ran_RAN_NO,
-	})
+		Ran:          ran,
+	}
 }
 
 // try sends a request until it is answered or ctx ends.
--- a/internal/runrecord/table.go
+++ b/internal/runrecord/table.go
@@ -35,10 +35,10 @@
 
 // releasedMax is how many released attempts a record remembers, so that their delayed
 // claims are not taken for new ones.
-const releasedMax = 8
+const releasedMax = 16
 
 // recordOverhead estimates the memory of a record beside its strings and bytes.
-const recordOverhead = 400
+const recordOverhead = 640
 
 // recordKey identifies a record.
 type recordKey struct {
@@ -199,9 +199,8 @@
 	case apiv1.Ran_RAN_NO:
 		t.release(r)
 	default:
-		r.state = apiv1.RunState_RUN_STATE_LOST
+		t.lose(r)
 	}
-	t.touch(r)
 	return r.message()
 }
 
@@ -214,6 +213,16 @@
 		f.Headers = nil
 		f.BodyOmitted = true
 	}
+	t.touch(r)
+}
+
+// lose notes that the run may have happened and that its answer is lost.
+func (t *Table) lose(r *record) {
+	if r.state == apiv1.RunState_RUN_STATE_LOST {
+		return
+	}
+	r.state = apiv1.RunState_RUN_STATE_LOST
+	t.touch(r)
 }
 
 func (t *Table) release(r *record) {
@@ -223,6 +232,7 @@
 		r.released = r.released[1:]
 	}
 	r.holder = attempt{}
+	t.touch(r)
 }
 
 // touch notes a change of the record.
--- a/internal/runrecord/table_test.go
+++ b/internal/runrecord/table_test.go
@@ -10,7 +10,7 @@
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
 
-func apply(t testing.TB, table *Table, req *apiv1.RunRequest) *apiv1.RunRecord {
+func apply(t require.TestingT, table *Table, req *apiv1.RunRequest) *apiv1.RunRecord {
 	data, err := proto.Marshal(req)
 	require.NoError(t, err)
 	var resp apiv1.RunResponse
