Share runs among resends at a node, and never let the transport resend

Cause: each resend of an Idempotency-Key asked the control replicas by itself, so resending callers multiplied claims; answers of such runs were read into memory without bound; an empty POST went out chunked, so a target could not notice a cancellation before it read the body. Change: resends at one node join one flight; long answers stream past their captured start; an empty body is sent as Content-Length 0, with Idempotency-Key under a name that http.Transport does not look for. Conclusion: one claim for each key and node, and no hidden resend.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -134,11 +134,11 @@
 	return data, nil
 }
 
-// KeepBody replaces the body of an answer by its whole content in memory.
-func (r *Result) KeepBody(data []byte) {
-	kept := *r.Answer
-	kept.Body = io.NopCloser(bytes.NewReader(data))
-	r.Answer = &kept
+// ReplaceBody replaces the body of an answer by one of the same content.
+func (r *Result) ReplaceBody(body io.ReadCloser) {
+	replaced := *r.Answer
+	replaced.Body = body
+	r.Answer = &replaced
 }
 
 // Recorded returns a result for an answer that was taken from a run record.
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,9 +17,8 @@
 	"github.com/guavaford/guavaford/internal/outcome"
 )
 
-// onceBody hides the nature of a body from http.Transport. The transport resends a
-// request that has no body when the method is safe or an Idempotency-Key is set;
-// with a body of a type that it does not know it never does.
+// onceBody hides the nature of a body from http.Transport. The transport resends a safe
+// request that has no body; with a body of a type that it does not know it never does.
 type onceBody struct {
 	io.Reader
 }
@@ -31,14 +31,18 @@
 
 func (emptyReader) Read([]byte) (int, error) { return 0, io.EOF }
 
+// resendFields are the fields that make http.Transport resend a request without a body,
+// whatever its method. It looks for them in their canonical form only.
+var resendFields = []string{headers.IdempotencyKey, "X-Idempotency-Key"}
+
 // targetRequest builds the HTTP request for a target of this host.
 func targetRequest(ctx context.Context, address string, h *apiv1.CallHeader, handle callctx.Handle, body io.Reader) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, h.GetMethod(), "http://"+address+h.GetPath(), nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "target request")
 	}
-	setBody(req, h, body)
 	headers.Apply(req.Header, h.GetHeaders())
+	setBody(req, h, body)
 	req.Header.Set(headers.Handle, string(handle))
 	req.Header.Set(headers.RequestID, h.GetRequestId())
 	req.Header.Set(headers.Organisation, h.GetOrganisation())
@@ -53,20 +57,42 @@
 	return req, nil
 }
 
-// setBody gives the request a body that the transport can't replay by itself.
+// setBody gives the request its body, in a form that the transport does not resend unless
+// the call is idempotent.
 func setBody(req *http.Request, h *apiv1.CallHeader, body io.Reader) {
 	req.GetBody = nil
-	empty := h.GetContentLength() == 0
-	if empty && h.GetIdempotent() {
+	switch {
+	case h.GetContentLength() != 0 && body != nil:
+		req.ContentLength = h.GetContentLength()
+		req.Body = onceBody{body}
+	case h.GetIdempotent():
 		req.Body = http.NoBody
-		return
-	}
-	if empty || body == nil {
+	case safeMethod(req.Method):
 		req.Body = onceBody{emptyReader{}}
-		return
+	default:
+		req.Body = http.NoBody
+		hideResendFields(req.Header)
+	}
+}
+
+// safeMethod reports whether the transport takes requests of the method as safe to resend.
+func safeMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
+	}
+}
+
+// hideResendFields puts the fields under names in lower case, which mean the same to a target.
+func hideResendFields(h http.Header) {
+	for _, name := range resendFields {
+		if values, ok := h[name]; ok {
+			delete(h, name)
+			h[strings.ToLower(name)] = values
+		}
 	}
-	req.ContentLength = h.GetContentLength()
-	req.Body = onceBody{body}
 }
 
 // transportRefusal says what is known after the HTTP exchange with a target failed.
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"io"
@@ -55,6 +56,7 @@
 	metrics    *telemetry.Metrics
 	log        telemetry.Logger
 	sequence   atomic.Uint64
+	flights    *flights
 	// background counts the runs and finishes that are under way.
 	background sync.WaitGroup
 }
@@ -81,6 +83,7 @@
 		clock:      o.Clock,
 		metrics:    o.Metrics,
 		log:        o.Log,
+		flights:    newFlights(),
 	}
 }
 
@@ -98,31 +101,79 @@
 	if refusal != nil {
 		return dispatch.Refused(refusal)
 	}
+	sum := digest(req, body)
+	flightKey := flightKey{req.Origin.Organisation, key}
+	for {
+		one, leads := r.flights.join(flightKey, sum)
+		if leads {
+			return r.lead(ctx, flightKey, one, req)
+		}
+		if result, again := one.wait(ctx, sum); !again {
+			return result
+		}
+	}
+}
+
+// lead claims the run record and acts on its state.
+func (r *Runs) lead(ctx context.Context, key flightKey, one *flight, req *dispatch.Request) *dispatch.Result {
 	claim := &apiv1.RunClaim{
-		Organisation: req.Origin.Organisation,
-		Key:          key,
-		Digest:       digest(req, body),
+		Organisation: key.organisation,
+		Key:          key.key,
+		Digest:       one.digest,
 		Node:         r.identity.Node,
 		Incarnation:  r.identity.Incarnation,
 		Number:       r.sequence.Add(1),
 		Address:      r.address,
 	}
+	record, refusal := r.await(ctx, claim)
+	if refusal == nil && record.GetState() == apiv1.RunState_RUN_STATE_CLAIMED {
+		return r.run(ctx, key, one, claim, req)
+	}
+	defer r.flights.land(key, one)
+	if refusal != nil {
+		return dispatch.Refused(refusal)
+	}
+	if record.GetState() == apiv1.RunState_RUN_STATE_FINISHED {
+		r.metrics.Replays.Add(1)
+		one.finish = record.GetFinish()
+		return replay(one.finish)
+	}
+	one.refusal = unusable(record.GetState())
+	return dispatch.Refused(one.refusal)
+}
+
+// await claims the run record, waiting while another attempt runs.
+func (r *Runs) await(ctx context.Context, claim *apiv1.RunClaim) (*apiv1.RunRecord, *outcome.Refusal) {
 	wait := joinFirstWait
 	for {
 		record, err := r.claim(ctx, claim)
 		if err != nil {
-			return dispatch.Refused(outcome.NotRun(outcome.RunRecordsAway, time.Second, "the run could not be claimed"))
+			return nil, outcome.NotRun(outcome.RunRecordsAway, time.Second, "the run could not be claimed")
 		}
 		if record.GetState() != apiv1.RunState_RUN_STATE_RUNNING {
-			return r.settle(ctx, claim, record, req)
+			return record, nil
 		}
 		if !sleep(ctx, wait) {
-			return dispatch.Refused(stillRunning())
+			return nil, stillRunning()
 		}
 		wait = min(2*wait, joinMaxWait)
 	}
 }
 
+// unusable returns the refusal for a record that neither lets run nor holds an answer.
+func unusable(state apiv1.RunState) *outcome.Refusal {
+	switch state {
+	case apiv1.RunState_RUN_STATE_LOST:
+		return &outcome.Refusal{Code: outcome.OutcomeUnknown, Ran: outcome.RanUnknown, Detail: "the answer of the earlier request with this Idempotency-Key is lost"}
+	case apiv1.RunState_RUN_STATE_MISMATCH:
+		return mismatch()
+	case apiv1.RunState_RUN_STATE_FULL:
+		return outcome.NotRun(outcome.RunRecordsFull, time.Second, "no room for another run record")
+	default:
+		return outcome.NotRun(outcome.RunRecordsAway, time.Second, "run records can't be reached")
+	}
+}
+
 // stillRunning is the refusal of a resend whose deadline ended before the first run did.
 func stillRunning() *outcome.Refusal {
 	return &outcome.Refusal{
@@ -173,67 +224,100 @@
 	return r.records.Claim(ctx, claim)
 }
 
-// settle acts on the state of the run record.
-func (r *Runs) settle(ctx context.Context, claim *apiv1.RunClaim, record *apiv1.RunRecord, req *dispatch.Request) *dispatch.Result {
-	switch record.GetState() {
-	case apiv1.RunState_RUN_STATE_CLAIMED:
-		return r.run(ctx, claim, req)
-	case apiv1.RunState_RUN_STATE_FINISHED:
-		r.metrics.Replays.Add(1)
-		return replay(record.GetFinish())
-	case apiv1.RunState_RUN_STATE_LOST:
-		return dispatch.Refused(&outcome.Refusal{Code: outcome.OutcomeUnknown, Ran: outcome.RanUnknown, Detail: "the answer of the earlier request with this Idempotency-Key is lost"})
-	case apiv1.RunState_RUN_STATE_MISMATCH:
-		return dispatch.Refused(outcome.NotRun(outcome.IdempotencyReused, 0, "another request was sent with this Idempotency-Key"))
-	case apiv1.RunState_RUN_STATE_FULL:
-		return dispatch.Refused(outcome.NotRun(outcome.RunRecordsFull, time.Second, "no room for another run record"))
-	default:
-		return dispatch.Refused(outcome.NotRun(outcome.RunRecordsAway, time.Second, "run records can't be reached"))
-	}
-}
-
 // run dispatches a claimed request. The run goes on when its caller leaves.
-func (r *Runs) run(ctx context.Context, claim *apiv1.RunClaim, req *dispatch.Request) *dispatch.Result {
-	done := make(chan *dispatch.Result, 1)
+func (r *Runs) run(ctx context.Context, key flightKey, one *flight, claim *apiv1.RunClaim, req *dispatch.Request) *dispatch.Result {
+	answers := make(chan *dispatch.Result)
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Origin.Deadline)
 	r.background.Add(1)
 	go func() {
 		defer r.background.Done()
 		defer cancel()
 		result := r.dispatcher.Do(runCtx, req)
-		finish := r.capture(claim, result)
-		done <- result
+		rest := r.capture(claim, one, result)
+		r.deliver(ctx, answers, result, rest)
+		finish := one.finish
+		r.flights.land(key, one)
 		r.finish(finish)
 	}()
 	select {
-	case result := <-done:
+	case result := <-answers:
 		return result
 	case <-ctx.Done():
 		return dispatch.Refused(stillRunning())
 	}
 }
 
-// capture reads the answer into memory, as far as a record keeps it.
-func (r *Runs) capture(claim *apiv1.RunClaim, result *dispatch.Result) *apiv1.RunFinish {
-	finish := finishOf(claim)
+// deliver hands the answer to the request that led the run, if it still waits, and stays
+// until a body that is longer than what is captured has been read.
+func (r *Runs) deliver(ctx context.Context, answers chan<- *dispatch.Result, result *dispatch.Result, rest *restBody) {
+	select {
+	case answers <- result:
+	case <-ctx.Done():
+		if rest != nil {
+			_ = rest.Close()
+		}
+		return
+	}
+	if rest != nil {
+		<-rest.closed
+	}
+}
+
+// capture reads the answer into memory, as far as a record keeps it, and sets the outcome
+// of the flight. It returns the unread rest of a longer answer.
+func (r *Runs) capture(claim *apiv1.RunClaim, one *flight, result *dispatch.Result) *restBody {
+	one.finish = finishOf(claim)
 	if refusal := result.Refusal(); refusal != nil {
-		finish.Ran = refusal.Ran.Message()
-		return finish
+		one.finish.Ran = refusal.Ran.Message()
+		one.refusal = refusal
+		return nil
 	}
-	finish.Ran = apiv1.Ran_RAN_YES
-	body, err := io.ReadAll(result.Body)
-	result.Body.Close()
+	one.finish.Ran = apiv1.Ran_RAN_YES
+	start, err := io.ReadAll(io.LimitReader(result.Body, maxRecordedBytes+1))
 	if err != nil {
-		*result = *dispatch.Refused(cutOff(err))
-		return finish
+		_ = result.Body.Close()
+		one.refusal = cutOff(err)
+		*result = *dispatch.Refused(one.refusal)
+		return nil
 	}
-	result.KeepBody(body)
-	if len(body) <= maxRecordedBytes {
-		finish.Status = result.Header.GetStatus()
-		finish.Headers = result.Header.GetHeaders()
-		finish.Body = body
+	if len(start) > maxRecordedBytes {
+		rest := newRestBody(start, result.Body)
+		result.ReplaceBody(rest)
+		return rest
+	}
+	_ = result.Body.Close()
+	result.ReplaceBody(io.NopCloser(bytes.NewReader(start)))
+	one.finish.Status = result.Header.GetStatus()
+	one.finish.Headers = result.Header.GetHeaders()
+	one.finish.Body = start
+	return nil
+}
+
+// restBody is an answer body whose start was read already.
+type restBody struct {
+	io.Reader
+	source io.Closer
+	once   sync.Once
+	closed chan struct{}
+}
+
+// newRestBody returns a body of the start and what is left of the source.
+func newRestBody(start []byte, source io.ReadCloser) *restBody {
+	return &restBody{
+		Reader: io.MultiReader(bytes.NewReader(start), source),
+		source: source,
+		closed: make(chan struct{}),
 	}
-	return finish
+}
+
+// Close closes the source.
+func (b *restBody) Close() error {
+	var err error
+	b.once.Do(func() {
+		err = b.source.Close()
+		close(b.closed)
+	})
+	return err
 }
 
 // finishOf returns the finish message of a claim without its outcome.
