Let a process take its clock, files and networks from outside

Cause: whole nodes could run only on the operating system, so failures could not be caused in virtual time; kept files were not synced, and a full disk would have stopped the confirmation of the configuration. Change: node.New takes Dependencies; secrets and the kept configuration go through vfs with a synced replace; a kept configuration that can't be written is logged and holds in memory. Conclusion: the fleet tests can run the same assembly that ships.

--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -24,6 +24,7 @@
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/telemetry"
+	"github.com/guavaford/guavaford/internal/vfs"
 )
 
 // Timing of the heartbeats.
@@ -52,6 +53,7 @@
 	Directory  *registry.Directory
 	// Folder keeps the configuration over a restart; empty keeps nothing.
 	Folder string
+	FS     vfs.FS
 	Clock  clock.Clock
 	Log    telemetry.Logger
 }
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -12,6 +12,7 @@
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/board"
 	"github.com/guavaford/guavaford/internal/keys"
+	"github.com/guavaford/guavaford/internal/vfs"
 )
 
 // keptFile is the name of the file that keeps the configuration over a restart.
@@ -79,7 +80,11 @@
 		Keys:     next.keys,
 	})
 	l.o.Log.Info("configuration in force", "revision", next.revision)
-	return l.keep()
+	if err := l.keep(); err != nil {
+		// The configuration holds all the same; only a restart would start from an older one.
+		l.o.Log.Warn("configuration not kept", "err", err)
+	}
+	return nil
 }
 
 // stateOf returns the state that a snapshot describes.
@@ -166,12 +171,7 @@
 	if err != nil {
 		return errors.Wrap(err, "keep configuration")
 	}
-	path := filepath.Join(l.o.Folder, keptFile)
-	temporary := path + ".new"
-	if err := os.WriteFile(temporary, data, 0o600); err != nil {
-		return errors.Wrap(err, "keep configuration")
-	}
-	return errors.Wrap(os.Rename(temporary, path), "keep configuration")
+	return errors.Wrap(vfs.Replace(l.o.FS, l.o.Folder, keptFile, data), "keep configuration")
 }
 
 // restore puts the kept configuration in force. A file that can't be read is ignored:
@@ -180,7 +180,7 @@
 	if l.o.Folder == "" {
 		return nil
 	}
-	data, err := os.ReadFile(filepath.Join(l.o.Folder, keptFile))
+	data, err := l.o.FS.ReadFile(filepath.Join(l.o.Folder, keptFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -17,7 +17,7 @@
 const controlFolder = "control"
 
 // buildControl opens the replica of this host, or reaches those of others.
-func (p *process) buildControl() error {
+func (p *Process) buildControl() error {
 	s := p.o.settings
 	if s.NoControl {
 		p.service = control.NewClient(p.pool, s.Control, control.ClientOptions{DataCentre: s.DataCentre})
@@ -25,6 +25,7 @@
 	}
 	replica, err := control.Open(control.Options{
 		DataFolder:      filepath.Join(s.DataFolder, controlFolder),
+		FS:              p.o.FS,
 		Identity:        p.o.identity,
 		Address:         s.PeerAddress,
 		DataCentre:      s.DataCentre,
@@ -34,8 +35,8 @@
 		Server:          p.peers,
 		RateShards:      rateShards,
 		RunShards:       runShards,
-		Clock:           p.o.clock,
-		Log:             p.o.log,
+		Clock:           p.o.Clock,
+		Log:             p.o.Log,
 	})
 	if err != nil {
 		return err
@@ -46,7 +47,7 @@
 }
 
 // leaseSender returns the sender of lease requests.
-func (p *process) leaseSender() rate.Sender {
+func (p *Process) leaseSender() rate.Sender {
 	sender := leaseSender{pool: p.pool, own: p.o.settings.PeerAddress}
 	if p.replica != nil {
 		sender.local = p.replica
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
 )
 
 // listen opens the four addresses of the node.
-func (p *process) listen() error {
+func (p *Process) listen() error {
 	s := p.o.settings
 	for _, one := range []struct {
 		name    string
@@ -33,8 +32,8 @@
 }
 
 // serveHTTP serves one address.
-func (p *process) serveHTTP(name, address string, server *http.Server) error {
-	listener, err := net.Listen("tcp", address)
+func (p *Process) serveHTTP(name, address string, server *http.Server) error {
+	listener, err := p.o.ListenHTTP(address)
 	if err != nil {
 		return errors.Wrap(err, name)
 	}
@@ -49,7 +48,7 @@
 }
 
 // shutdownServers lets running requests finish, callers' first, since they need the others.
-func (p *process) shutdownServers(ctx context.Context) error {
+func (p *Process) shutdownServers(ctx context.Context) error {
 	var first error
 	for _, step := range []func(context.Context) error{
 		p.callers.Shutdown,
@@ -64,8 +63,8 @@
 	return first
 }
 
-// close ends everything at once.
-func (p *process) close() {
+// Close ends everything at once, as a crash would.
+func (p *Process) Close() {
 	p.cancel()
 	for _, server := range []*http.Server{p.callers, p.targets, p.operators} {
 		_ = server.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,6 @@
 	"os"
 	"time"
 
-	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/settings"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
@@ -29,12 +28,12 @@
 	if err != nil {
 		return err
 	}
-	p, err := newProcess(s, clock.System{}, logger)
+	p, err := New(s, Dependencies{Log: logger})
 	if err != nil {
 		return err
 	}
-	if err := p.start(); err != nil {
-		p.close()
+	if err := p.Start(); err != nil {
+		p.Close()
 		return err
 	}
 	select {
@@ -42,20 +41,20 @@
 		logger.Info("planned stop", "reason", "signal")
 	case err := <-p.failed:
 		logger.Error("stopping", "err", err)
-		p.close()
+		p.Close()
 		return err
 	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
 	defer cancel()
-	return p.stop(stopCtx)
+	return p.Stop(stopCtx)
 }
 
 // heardTime is how long a leaving node goes on taking requests, until every other node
 // has heard that it leaves.
 const heardTime = 1500 * time.Millisecond
 
-// stop ends the process without cutting a request.
-func (p *process) stop(ctx context.Context) error {
+// Stop ends the process without cutting a request.
+func (p *Process) Stop(ctx context.Context) error {
 	p.stopping.Store(true)
 	p.loop.Leave()
 	sleep(ctx, heardTime)
@@ -65,8 +64,8 @@
 	p.gate.Close()
 	err := p.shutdownServers(ctx)
 	p.runs.Wait()
-	p.close()
-	p.o.log.Info("stopped", "clean", err == nil)
+	p.Close()
+	p.o.Log.Info("stopped", "clean", err == nil)
 	return err
 }
 
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -26,6 +26,7 @@
 	"github.com/guavaford/guavaford/internal/runrecord"
 	"github.com/guavaford/guavaford/internal/settings"
 	"github.com/guavaford/guavaford/internal/telemetry"
+	"github.com/guavaford/guavaford/internal/vfs"
 )
 
 // Limits of the HTTP servers and of the connections to targets.
@@ -39,17 +40,51 @@
 	targetIdleConns    = 256
 )
 
+// Dependencies are what a process takes from outside. Zero fields are those of the
+// operating system; tests replace them.
+type Dependencies struct {
+	Clock clock.Clock
+	Log   telemetry.Logger
+	// FS holds everything under the data folder.
+	FS vfs.FS
+	// Transport carries the connections between nodes; nil is yamux under the fleet secret.
+	Transport peer.Transport
+	// Targets speaks HTTP to the targets of the host.
+	Targets http.RoundTripper
+	// ListenHTTP opens an address for HTTP.
+	ListenHTTP func(address string) (net.Listener, error)
+}
+
+// withDefaults fills in what the operating system offers.
+func (d Dependencies) withDefaults() Dependencies {
+	if d.Clock == nil {
+		d.Clock = clock.System{}
+	}
+	if d.Log == nil {
+		d.Log = telemetry.Discard()
+	}
+	if d.FS == nil {
+		d.FS = vfs.OS{}
+	}
+	if d.Targets == nil {
+		d.Targets = targetTransport()
+	}
+	if d.ListenHTTP == nil {
+		d.ListenHTTP = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	return d
+}
+
 // parts are what the parts of a process share.
 type parts struct {
+	Dependencies
 	settings *settings.Node
 	identity peer.Identity
-	clock    clock.Clock
-	log      telemetry.Logger
 	metrics  *telemetry.Metrics
 }
 
-// process is one running node.
-type process struct {
+// Process is one node.
+type Process struct {
 	o          parts
 	transport  peer.Transport
 	pool       *peer.Pool
@@ -78,25 +113,27 @@
 	failed chan error
 }
 
-// newProcess builds every part of a node. Nothing runs yet.
-func newProcess(s *settings.Node, c clock.Clock, log telemetry.Logger) (*process, error) {
-	p := &process{
+// New builds every part of a node. Nothing runs yet. Settings must be checked.
+func New(s *settings.Node, d Dependencies) (*Process, error) {
+	d = d.withDefaults()
+	p := &Process{
 		o: parts{
-			settings: s,
-			identity: peer.Identity{Node: s.Name, Incarnation: peer.NewIncarnation(c.Now())},
-			clock:    c,
-			log:      log,
-			metrics:  telemetry.NewMetrics(),
+			Dependencies: d,
+			settings:     s,
+			identity:     peer.Identity{Node: s.Name, Incarnation: peer.NewIncarnation(d.Clock.Now())},
+			metrics:      telemetry.NewMetrics(),
 		},
 		failed: make(chan error, 8),
 	}
-	secrets, err := loadSecrets(s)
+	secrets, err := loadSecrets(d.FS, s)
 	if err != nil {
 		return nil, err
 	}
 	p.token = secrets.operatorToken
-	if p.transport, err = peer.NewYamux(secrets.fleet); err != nil {
-		return nil, err
+	if p.transport = d.Transport; p.transport == nil {
+		if p.transport, err = peer.NewYamux(secrets.fleet); err != nil {
+			return nil, err
+		}
 	}
 	p.pool = peer.NewPool(p.o.identity, p.transport, peer.PoolOptions{})
 	p.peers = peer.NewServer(p.o.identity, peer.ServerOptions{})
@@ -119,18 +156,18 @@
 }
 
 // buildPath builds the parts that a request passes.
-func (p *process) buildPath() {
+func (p *Process) buildPath() {
 	s := p.o.settings
 	handles := callctx.NewHandles()
-	p.keyring = gateway.NewKeyring(p.board, p.o.clock, s.FreshnessLimit)
+	p.keyring = gateway.NewKeyring(p.board, p.o.Clock, s.FreshnessLimit)
 	p.gate = gate.New(gate.Options{
 		Keyring:   p.keyring,
 		Policies:  policy.Admissions{Configuration: p.board.Configuration},
 		Handles:   handles,
-		Clock:     p.o.clock,
+		Clock:     p.o.Clock,
 		Metrics:   p.o.metrics,
-		Log:       p.o.log,
-		Transport: targetTransport(),
+		Log:       p.o.Log,
+		Transport: p.o.Targets,
 	})
 	registerGate(p.peers, p.o.identity, p.gate)
 	p.dispatcher = dispatch.New(dispatch.Options{
@@ -140,21 +177,21 @@
 		Sender:     sender{pool: p.pool},
 		Directory:  p.directory,
 		Board:      p.board,
-		Clock:      p.o.clock,
+		Clock:      p.o.Clock,
 		Metrics:    p.o.metrics,
-		Log:        p.o.log,
+		Log:        p.o.Log,
 	})
 	identity := rate.Identity{Node: p.o.identity.Node, Incarnation: p.o.identity.Incarnation}
-	p.rates = rate.NewClient(identity, p.leaseSender(), p.board.Placement, p.o.clock, rate.Config{})
+	p.rates = rate.NewClient(identity, p.leaseSender(), p.board.Placement, p.o.Clock, rate.Config{})
 	records := runrecord.NewClient(p.service, func() uint32 { return p.board.Placement.Load().GetRunShards() })
 	p.runs = gateway.NewRuns(gateway.RunsOptions{
 		Identity:   p.o.identity,
 		Address:    s.PeerAddress,
 		Records:    records,
 		Dispatcher: p.dispatcher,
-		Clock:      p.o.clock,
+		Clock:      p.o.Clock,
 		Metrics:    p.o.metrics,
-		Log:        p.o.log,
+		Log:        p.o.Log,
 	})
 	entry := gateway.NewEntry(gateway.Options{
 		Board:      p.board,
@@ -163,17 +200,17 @@
 		Rates:      p.rates,
 		Runs:       p.runs,
 		Handles:    handles,
-		Clock:      p.o.clock,
+		Clock:      p.o.Clock,
 		Metrics:    p.o.metrics,
-		Log:        p.o.log,
+		Log:        p.o.Log,
 	})
 	p.callers = httpServer(gateway.NewCallers(entry))
 	p.targets = httpServer(gateway.NewTargets(entry, p.local))
-	p.operators = operator.NewServer(operator.NewHandler(p.service, p.token, p.o.log, p))
+	p.operators = operator.NewServer(operator.NewHandler(p.service, p.token, p.o.Log, p))
 }
 
 // buildLoop builds the heartbeats.
-func (p *process) buildLoop() error {
+func (p *Process) buildLoop() error {
 	loop, err := follow.New(follow.Options{
 		Identity:   p.o.identity,
 		Address:    p.o.settings.PeerAddress,
@@ -183,8 +220,9 @@
 		Local:      p.local,
 		Directory:  p.directory,
 		Folder:     p.o.settings.DataFolder,
-		Clock:      p.o.clock,
-		Log:        p.o.log,
+		FS:         p.o.FS,
+		Clock:      p.o.Clock,
+		Log:        p.o.Log,
 	})
 	p.loop = loop
 	return err
@@ -215,8 +253,8 @@
 	}
 }
 
-// start opens the addresses and runs the controllers.
-func (p *process) start() error {
+// Start opens the addresses and runs the controllers.
+func (p *Process) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	if err := p.listen(); err != nil {
@@ -235,7 +273,7 @@
 }
 
 // goRun runs one part; an error of it stops the process.
-func (p *process) goRun(name string, run func() error) {
+func (p *Process) goRun(name string, run func() error) {
 	p.running.Add(1)
 	go func() {
 		defer p.running.Done()
@@ -249,7 +287,7 @@
 const expiryInterval = 250 * time.Millisecond
 
 // refreshTargets passes local targets and policies on to the gate.
-func (p *process) refreshTargets(ctx context.Context) {
+func (p *Process) refreshTargets(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
 	for {
@@ -267,7 +305,7 @@
 }
 
 // awaitTargetNews expires targets until one of the channels is closed. It returns false when ctx ends.
-func (p *process) awaitTargetNews(ctx context.Context, ticker *time.Ticker, a, b <-chan struct{}) bool {
+func (p *Process) awaitTargetNews(ctx context.Context, ticker *time.Ticker, a, b <-chan struct{}) bool {
 	for {
 		select {
 		case <-a:
@@ -277,8 +315,8 @@
 		case <-ctx.Done():
 			return false
 		case <-ticker.C:
-			for _, t := range p.local.Expire(p.o.clock.Now()) {
-				p.o.log.Warn("target not renewed", "target", t.Name, "service", t.Service)
+			for _, t := range p.local.Expire(p.o.Clock.Now()) {
+				p.o.Log.Warn("target not renewed", "target", t.Name, "service", t.Service)
 			}
 		}
 	}
--- a/internal/node/secrets.go
+++ b/internal/node/secrets.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/guavaford/guavaford/internal/settings"
+	"github.com/guavaford/guavaford/internal/vfs"
 )
 
 // Names of the files that are made in the data folder when no other is set.
@@ -31,31 +32,31 @@
 }
 
 // loadSecrets reads the secrets, making those that are not set.
-func loadSecrets(s *settings.Node) (*secrets, error) {
-	if err := os.MkdirAll(s.DataFolder, 0o700); err != nil {
+func loadSecrets(fs vfs.FS, s *settings.Node) (*secrets, error) {
+	if err := fs.MkdirAll(s.DataFolder); err != nil {
 		return nil, errors.Wrap(err, "data folder")
 	}
-	fleet, err := loadSecret(s.FleetSecretFile, filepath.Join(s.DataFolder, fleetSecretName))
+	fleet, err := loadSecret(fs, s.FleetSecretFile, s.DataFolder, fleetSecretName)
 	if err != nil {
 		return nil, errors.Wrap(err, "fleet secret")
 	}
-	token, err := loadSecret(s.OperatorTokenFile, filepath.Join(s.DataFolder, operatorTokenName))
+	token, err := loadSecret(fs, s.OperatorTokenFile, s.DataFolder, operatorTokenName)
 	if err != nil {
 		return nil, errors.Wrap(err, "operator token")
 	}
 	return &secrets{fleet: fleet, operatorToken: string(token)}, nil
 }
 
-// loadSecret reads a secret from the file that is set, or from the default one, which is
-// made when it is missing.
-func loadSecret(set, byDefault string) ([]byte, error) {
+// loadSecret reads a secret from the file that is set, or from the named one in the data
+// folder, which is made when it is missing.
+func loadSecret(fs vfs.FS, set, folder, name string) ([]byte, error) {
 	path := set
 	if path == "" {
-		path = byDefault
+		path = filepath.Join(folder, name)
 	}
-	data, err := os.ReadFile(path)
+	data, err := fs.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) && set == "" {
-		return makeSecret(path)
+		return makeSecret(fs, folder, name)
 	}
 	if err != nil {
 		return nil, err
@@ -68,9 +69,9 @@
 }
 
 // makeSecret writes a new random secret that only the owner of the process can read.
-func makeSecret(path string) ([]byte, error) {
+func makeSecret(fs vfs.FS, folder, name string) ([]byte, error) {
 	raw := make([]byte, secretBytes)
 	_, _ = rand.Read(raw)
 	secret := []byte(hex.EncodeToString(raw))
-	return secret, os.WriteFile(path, append(secret, '\n'), 0o600)
+	return secret, vfs.Replace(fs, folder, name, append(secret, '\n'))
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -2,13 +2,16 @@
 
 import (
 	"cmp"
+	"net/http"
 	"slices"
 
+	"github.com/guavaford/guavaford/internal/control"
 	"github.com/guavaford/guavaford/internal/operator"
+	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
 // LocalStatus describes this node for operators.
-func (p *process) LocalStatus() operator.NodeStatus {
+func (p *Process) LocalStatus() operator.NodeStatus {
 	s := operator.NodeStatus{
 		Name:           p.o.identity.Node,
 		DataCentre:     p.o.settings.DataCentre,
@@ -33,8 +36,8 @@
 }
 
 // confirmedAge returns the age of the confirmation in milliseconds; -1 before the first.
-func (p *process) confirmedAge() int64 {
-	age, ok := p.board.Freshness.Load().Age(p.o.clock.Now())
+func (p *Process) confirmedAge() int64 {
+	age, ok := p.board.Freshness.Load().Age(p.o.Clock.Now())
 	if !ok {
 		return -1
 	}
@@ -42,7 +45,7 @@
 }
 
 // publishMetrics shows counters, gauges and histograms by expvar.
-func (p *process) publishMetrics() {
+func (p *Process) publishMetrics() {
 	m := p.o.metrics
 	m.SetGauge("revision", func() float64 { return float64(p.board.Configuration.Load().Revision) })
 	m.SetGauge("confirmed_age_ms", func() float64 { return float64(p.confirmedAge()) })
@@ -53,7 +56,7 @@
 }
 
 // sumLoads adds up one figure of the local targets.
-func (p *process) sumLoads(figure func(operator.LocalTarget) int) float64 {
+func (p *Process) sumLoads(figure func(operator.LocalTarget) int) float64 {
 	sum := 0
 	for _, t := range p.LocalStatus().Targets {
 		sum += figure(t)
@@ -62,9 +65,9 @@
 }
 
 // logSettings logs the settings in force. Secrets stand in files and are not logged.
-func (p *process) logSettings() {
+func (p *Process) logSettings() {
 	s := p.o.settings
-	p.o.log.Info("node started",
+	p.o.Log.Info("node started",
 		"node", s.Name,
 		"data_centre", s.DataCentre,
 		"region", s.Region,
@@ -84,3 +87,15 @@
 		"log_level", s.LogLevel,
 	)
 }
+
+// Callers returns the handler of the callers' address.
+func (p *Process) Callers() http.Handler { return p.callers.Handler }
+
+// Targets returns the handler of the targets' address.
+func (p *Process) Targets() http.Handler { return p.targets.Handler }
+
+// Control returns the control service as this node reaches it.
+func (p *Process) Control() control.Service { return p.service }
+
+// Metrics returns the metrics of the node.
+func (p *Process) Metrics() *telemetry.Metrics { return p.o.metrics }
