Cause the registry's failures, and mend what that found

Two faults were found by the new tests. A replica that was kept apart for longer than it remembers silent nodes forgot records that the other believed it held, and never got them again: it now asks for everything once it has forgotten a node, and the records of silent nodes are not passed on, so that replicas don't remind each other of them for ever. A target that left before its set reached the node's own replica stayed at a replica that had heard of it by another way: hosts now announce tombstones too. A host that changes its targets often makes room by its oldest tombstones.

--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -186,12 +186,7 @@
 		WaitNs:      int64(heartbeatWait),
 	}
 	l.o.Directory.Fill(req)
-	version, records := l.o.Local.Records()
-	req.AnnouncedVersion = version
-	if l.wantAnnounced || version != l.announced {
-		req.AnnouncedFull = true
-		req.Announced = records
-	}
+	l.o.Local.Fill(req, l.announced, l.wantAnnounced)
 	return req
 }
 
--- a/internal/registry/exchange.go
+++ b/internal/registry/exchange.go
@@ -62,6 +62,10 @@
 		Warm:        r.warm && withLiveness,
 	}
 	for _, n := range r.nodes {
+		if now.Sub(n.heard) > relayUntil {
+			n.unsent = true
+			continue
+		}
 		m.Records = n.appendNews(m.Records, p.held)
 	}
 	if withLiveness {
@@ -115,12 +119,12 @@
 	}
 	touched := make(map[*node]struct{})
 	for _, record := range m.Records {
-		if n := r.admitNode(record.Node, record.Incarnation); n != nil {
+		if n := r.admitNode(now, record.Node, record.Incarnation); n != nil {
 			r.mergeRecord(now, n, record)
 			touched[n] = struct{}{}
 		}
 	}
-	timely := r.mergeLiveness(m, p, touched)
+	timely := r.mergeLiveness(now, m, p, touched)
 	// A message whose base lies beyond what is held leaves a gap: the reply asks for it again.
 	whole := m.Base <= p.upto
 	if whole {
@@ -140,20 +144,20 @@
 // this replica's own reading that it echoes, so a node with age a lived at the
 // reading minus a at least, however late the message is. It returns false when
 // the message is too old to tell.
-func (r *Relay) mergeLiveness(m *apiv1.RelayMessage, p *replicaPeer, touched map[*node]struct{}) bool {
+func (r *Relay) mergeLiveness(now time.Time, m *apiv1.RelayMessage, p *replicaPeer, touched map[*node]struct{}) bool {
 	if m.EchoNs == 0 || m.EchoNs < p.echo {
 		return false
 	}
 	p.echo = m.EchoNs
 	built := r.started.Add(time.Duration(m.EchoNs))
 	for _, l := range m.Nodes {
-		n := r.admitNode(l.Node, l.Incarnation)
+		n := r.admitNode(now, l.Node, l.Incarnation)
 		if n == nil {
 			continue
 		}
 		heard := built.Add(-time.Duration(max(l.AgeNs, 0)))
 		if heard.After(n.heard) {
-			n.heard = heard
+			r.setHeard(n, heard)
 			n.revision = l.Revision
 			n.dataCentre = l.DataCentre
 			r.setAddress(n, l.Address)
--- a/internal/registry/local.go
+++ b/internal/registry/local.go
@@ -19,6 +19,8 @@
 	DefaultTTL = 5 * time.Second
 	// maxLocalTargets bounds the targets of one host.
 	maxLocalTargets = 64
+	// maxLocalTombstones bounds the tombstones that one host announces.
+	maxLocalTombstones = 64
 	// maxNameBytes bounds names, addresses, label keys and label values.
 	maxNameBytes = 253
 	// maxLabels bounds the labels of one target.
@@ -65,6 +67,8 @@
 	Targets map[string]*LocalTarget
 	// Version counts the changes of the set.
 	Version uint64
+	// gone are the tombstones, ordered by version.
+	gone []*apiv1.TargetRecord
 }
 
 // Local holds the targets of this host. It is safe for concurrent use.
@@ -77,6 +81,9 @@
 	// sequence counts the heartbeats that Fill has prepared.
 	sequence uint64
 	entries  map[string]*localEntry
+	// tombstones are of targets that have gone. They are announced too, since a replica may
+	// have heard of such a target from another one only.
+	tombstones map[string]*localTombstone
 }
 
 type localEntry struct {
@@ -84,6 +91,12 @@
 	expires time.Time
 }
 
+type localTombstone struct {
+	record *apiv1.TargetRecord
+	// forget is when the tombstone is dropped; it is set by the next Expire.
+	forget time.Time
+}
+
 // NewLocal returns an empty set.
 func NewLocal(o LocalOptions) *Local {
 	if o.TTL == 0 {
@@ -93,6 +106,8 @@
 		options: o,
 		section: blackboard.NewSection(&LocalView{Targets: map[string]*LocalTarget{}}),
 		entries: make(map[string]*localEntry),
+
+		tombstones: make(map[string]*localTombstone),
 	}
 }
 
@@ -128,6 +143,7 @@
 	l.version++
 	l.dropAddress(a)
 	target := l.newTarget(a, started)
+	delete(l.tombstones, a.Name)
 	l.entries[a.Name] = &localEntry{target: target, expires: now.Add(l.options.TTL)}
 	l.publish()
 	return &target.Target, nil
@@ -158,9 +174,29 @@
 func (l *Local) dropAddress(a Announcement) {
 	for name, entry := range l.entries {
 		if name != a.Name && entry.target.Address == a.Address {
-			delete(l.entries, name)
+			l.remove(entry)
+		}
+	}
+}
+
+// remove replaces a target by a tombstone of the current version.
+func (l *Local) remove(entry *localEntry) {
+	t := entry.target
+	delete(l.entries, t.Name)
+	if len(l.tombstones) >= maxLocalTombstones {
+		l.dropOldestTombstone()
+	}
+	l.tombstones[t.Name] = &localTombstone{record: tombstone(t.Record(), t.Incarnation, l.version)}
+}
+
+func (l *Local) dropOldestTombstone() {
+	var oldest *apiv1.TargetRecord
+	for _, t := range l.tombstones {
+		if oldest == nil || t.record.Version < oldest.Version {
+			oldest = t.record
 		}
 	}
+	delete(l.tombstones, oldest.Name)
 }
 
 // sameRun reports whether b comes from the same run of the target as a.
@@ -213,11 +249,12 @@
 func (l *Local) Leave(name string) *outcome.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.entries[name] == nil {
+	entry := l.entries[name]
+	if entry == nil {
 		return outcome.NotRun(outcome.NoTarget, 0, "target %q is not announced", name)
 	}
-	delete(l.entries, name)
 	l.version++
+	l.remove(entry)
 	l.publish()
 	return nil
 }
@@ -226,38 +263,51 @@
 func (l *Local) Expire(now time.Time) []*Target {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.forgetTombstones(now)
 	var expired []*Target
-	for name, entry := range l.entries {
+	for _, name := range slices.Sorted(maps.Keys(l.entries)) {
+		entry := l.entries[name]
 		if now.Before(entry.expires) {
 			continue
 		}
 		expired = append(expired, &entry.target.Target)
-		delete(l.entries, name)
+		l.version++
+		l.remove(entry)
 	}
 	if len(expired) > 0 {
-		l.version++
 		l.publish()
 	}
-	slices.SortFunc(expired, func(a, b *Target) int { return cmp.Compare(a.Name, b.Name) })
 	return expired
 }
 
-// Records returns the set as it is announced to control, and its version.
+func (l *Local) forgetTombstones(now time.Time) {
+	for name, t := range l.tombstones {
+		switch {
+		case t.forget.IsZero():
+			t.forget = now.Add(forgetTombstoneAfter)
+		case now.After(t.forget):
+			delete(l.tombstones, name)
+		}
+	}
+}
+
+// Records returns the set as it is announced to control, tombstones included, and its version.
 func (l *Local) Records() (uint64, []*apiv1.TargetRecord) {
 	view := l.section.Load()
-	records := make([]*apiv1.TargetRecord, 0, len(view.Targets))
+	records := make([]*apiv1.TargetRecord, 0, len(view.Targets)+len(view.gone))
 	for _, name := range slices.Sorted(maps.Keys(view.Targets)) {
 		records = append(records, view.Targets[name].Record())
 	}
-	return view.Version, records
+	return view.Version, append(records, view.gone...)
 }
 
 // Fill sets the registry fields of a heartbeat that announce this host's
-// targets. The whole set goes along when full is true.
-func (l *Local) Fill(req *apiv1.SyncRequest, full bool) {
+// targets. The whole set goes along when the replica wants it, or when it has
+// changed since the version that the replica holds.
+func (l *Local) Fill(req *apiv1.SyncRequest, held uint64, wanted bool) {
 	version, records := l.Records()
 	req.AnnouncedVersion = version
-	if full {
+	if wanted || version != held {
 		req.AnnouncedFull = true
 		req.Announced = records
 	}
@@ -273,5 +323,11 @@
 	for name, entry := range l.entries {
 		view.Targets[name] = entry.target
 	}
+	for _, t := range l.tombstones {
+		view.gone = append(view.gone, t.record)
+	}
+	slices.SortFunc(view.gone, func(a, b *apiv1.TargetRecord) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Name, b.Name))
+	})
 	l.section.Publish(view)
 }
--- a/internal/registry/relay.go
+++ b/internal/registry/relay.go
@@ -17,6 +17,9 @@
 	DefaultWarmUp = 5 * time.Second
 	// forgetAfter is how long silent nodes are remembered.
 	forgetAfter = 2 * time.Minute
+	// relayUntil is how long the records of a silent node are passed on. It is shorter than
+	// forgetAfter, so that replicas don't remind each other of a node that is gone.
+	relayUntil = forgetAfter / 2
 	// forgetTombstoneAfter is longer: a replica that missed the tombstone has forgotten the
 	// node, and with it the target, before the tombstone is dropped.
 	forgetTombstoneAfter = 2 * forgetAfter
@@ -65,6 +68,10 @@
 	leaving     bool
 	// heard is the last time at which the node is known to have lived.
 	heard time.Time
+	// created is when the replica learned of the node.
+	created time.Time
+	// unsent is set when records were not passed on because the node was silent.
+	unsent bool
 	// direct is the last heartbeat that came to this replica.
 	direct   time.Time
 	sequence uint64
@@ -126,7 +133,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.begin(now)
-	n := r.admitNode(req.Node, req.Incarnation)
+	n := r.admitNode(now, req.Node, req.Incarnation)
 	if n == nil {
 		return false
 	}
@@ -137,7 +144,7 @@
 		n.sequence = req.Sequence
 	}
 	n.direct = now
-	n.heard = now
+	r.setHeard(n, now)
 	n.revision = req.Revision
 	n.dataCentre = req.DataCentre
 	n.leaving = n.leaving || req.Leaving
@@ -173,13 +180,13 @@
 // admitNode returns the state of a node's incarnation, or nil when the
 // incarnation is outdated or there are too many nodes. A new incarnation hides
 // everything that an earlier one announced.
-func (r *Relay) admitNode(name string, incarnation uint64) *node {
+func (r *Relay) admitNode(now time.Time, name string, incarnation uint64) *node {
 	n := r.nodes[name]
 	if n == nil {
 		if name == "" || len(r.nodes) >= maxNodes {
 			return nil
 		}
-		n = &node{name: name, incarnation: incarnation, records: make(map[string]*record)}
+		n = &node{name: name, incarnation: incarnation, created: now, records: make(map[string]*record)}
 		r.nodes[name] = n
 		return n
 	}
@@ -197,6 +204,23 @@
 	return n
 }
 
+// setHeard notes that a node lived at a time. Records that were held back while
+// it was silent become news again.
+func (r *Relay) setHeard(n *node, at time.Time) {
+	if !at.After(n.heard) {
+		return
+	}
+	n.heard = at
+	if !n.unsent {
+		return
+	}
+	n.unsent = false
+	for _, rec := range n.records {
+		r.position++
+		rec.position = r.position
+	}
+}
+
 // replaceSet takes over the whole announced set of a node. Records that are
 // missing from it become tombstones at the version of the set.
 func (r *Relay) replaceSet(now time.Time, n *node, req *apiv1.SyncRequest) {
@@ -233,7 +257,7 @@
 func (r *Relay) mergeRecord(now time.Time, n *node, m *apiv1.TargetRecord) {
 	rec := n.records[m.Name]
 	if rec == nil {
-		if len(n.records) >= maxRecordsPerNode {
+		if len(n.records) >= maxRecordsPerNode && !n.dropOldestGone() {
 			return
 		}
 		rec = &record{}
@@ -248,6 +272,27 @@
 	rec.since = now
 }
 
+// outdated reports whether the record describes no target of the node's current run.
+func (n *node) outdated(rec *record) bool {
+	return rec.message.State == apiv1.TargetState_TARGET_STATE_GONE || rec.message.Incarnation != n.incarnation
+}
+
+// dropOldestGone makes room by forgetting a target that has gone. It returns
+// false when all targets are there.
+func (n *node) dropOldestGone() bool {
+	oldest := ""
+	for name, rec := range n.records {
+		if !n.outdated(rec) || rec.shown != nil {
+			continue
+		}
+		if oldest == "" || rec.position < n.records[oldest].position {
+			oldest = name
+		}
+	}
+	delete(n.records, oldest)
+	return oldest != ""
+}
+
 // hideMoved removes a target from the service that it leaves for another.
 func (r *Relay) hideMoved(rec *record, m *apiv1.TargetRecord) {
 	if rec.shown != nil && rec.shown.Service != m.Service {
@@ -352,22 +397,26 @@
 // forget drops what is older than any message on its way can be.
 func (r *Relay) forget(now time.Time, n *node) {
 	for name, rec := range n.records {
-		gone := rec.message.State == apiv1.TargetState_TARGET_STATE_GONE || rec.message.Incarnation != n.incarnation
-		if gone && now.Sub(rec.since) > forgetTombstoneAfter {
+		if n.outdated(rec) && now.Sub(rec.since) > forgetTombstoneAfter {
 			delete(n.records, name)
 		}
 	}
-	if now.Sub(n.heard) > forgetAfter && now.Sub(r.started) > forgetAfter {
+	if now.Sub(n.heard) > forgetAfter && now.Sub(n.created) > forgetAfter {
 		r.forgetNode(n)
 	}
 }
 
+// forgetNode drops a node. Other replicas may still hear it, so they are asked
+// for all their news again.
 func (r *Relay) forgetNode(n *node) {
 	for _, rec := range n.records {
 		r.setShown(rec, nil)
 	}
 	r.releaseAddress(n)
 	delete(r.nodes, n.name)
+	for _, p := range r.peers {
+		p.upto = 0
+	}
 }
 
 // Nodes returns the nodes that were heard within the node timeout, for the status of control.
--- a/internal/registry/relay_test.go
+++ b/internal/registry/relay_test.go
@@ -13,13 +13,14 @@
 
 // host is a node with a target, as the registry sees it.
 type host struct {
-	name  string
-	local *Local
-	full  bool
+	name   string
+	local  *Local
+	held   uint64
+	wanted bool
 }
 
 func newHost(name string, incarnation uint64) *host {
-	return &host{name: name, full: true, local: NewLocal(LocalOptions{
+	return &host{name: name, wanted: true, local: NewLocal(LocalOptions{
 		Node: name, NodeAddress: name + ":1", DataCentre: "kl", Incarnation: incarnation,
 	})}
 }
@@ -34,16 +35,18 @@
 		Node: h.name, Incarnation: h.local.options.Incarnation,
 		Address: h.local.options.NodeAddress, DataCentre: "kl",
 	}
-	h.local.Fill(req, h.full)
+	h.local.Fill(req, h.held, h.wanted)
 	return req
 }
 
 // heartbeat announces the host to a replica until it has the whole set.
 func (h *host) heartbeat(now time.Time, r *Relay) {
-	h.full = false
-	h.full = r.Announced(now, h.request())
-	if h.full {
-		r.Announced(now, h.request())
+	for range 2 {
+		req := h.request()
+		h.held = req.AnnouncedVersion
+		if h.wanted = r.Announced(now, req); !h.wanted {
+			return
+		}
 	}
 }
 
@@ -106,3 +109,219 @@
 	require.Empty(t, names(a, "jadual"))
 	require.Empty(t, names(b, "jadual"))
 }
+
+// fleet is two replicas and the hosts that send their heartbeats to the first.
+type fleet struct {
+	now   time.Time
+	a, b  *Relay
+	hosts []*host
+}
+
+func newFleet(hosts ...*host) *fleet {
+	return &fleet{now: epoch, a: newReplica("a"), b: newReplica("b"), hosts: hosts}
+}
+
+// run lets time pass in steps of half a second with heartbeats and exchanges.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(500 * time.Millisecond) {
+		for _, h := range f.hosts {
+			h.heartbeat(f.now, f.a)
+		}
+		exchange(f.now, f.a, f.b)
+		exchange(f.now, f.b, f.a)
+		f.a.Expire(f.now)
+		f.b.Expire(f.now)
+	}
+}
+
+func (f *fleet) requireBoth(t *testing.T, service string, want ...string) {
+	t.Helper()
+	require.ElementsMatch(t, want, names(f.a, service))
+	require.ElementsMatch(t, want, names(f.b, service))
+}
+
+// TestDeadNodeIsHidden stops the heartbeats of a host: its targets are gone
+// from every replica within the node timeout, and come back with it.
+func TestDeadNodeIsHidden(t *testing.T) {
+	h := newHost("h", 10)
+	h.announce(t, epoch, "t", "jadual")
+	f := newFleet(h)
+	f.run(6 * time.Second)
+	f.requireBoth(t, "jadual", "h/t READY")
+	f.hosts = nil
+	f.run(DefaultNodeTimeout + 500*time.Millisecond)
+	f.requireBoth(t, "jadual")
+	f.hosts = []*host{h}
+	f.run(2 * time.Second)
+	f.requireBoth(t, "jadual", "h/t READY")
+}
+
+// TestLateMessagesBringNothingBack repeats every message that named a target
+// after the target has gone, and after its node has.
+func TestLateMessagesBringNothingBack(t *testing.T) {
+	h := newHost("h", 10)
+	h.announce(t, epoch, "t", "jadual")
+	f := newFleet(h)
+	f.run(6 * time.Second)
+	lateRequest := h.request()
+	h.held, h.wanted = 0, true
+	lateFull := h.request()
+	f.run(time.Second)
+	lateNews := f.a.Outgoing(f.now.Add(livenessInterval), "b")
+	lateNews.Base = 0
+	lateNews.Records = []*apiv1.TargetRecord{h.local.Section().Load().Targets["t"].Record()}
+	require.NotEmpty(t, lateNews.Nodes)
+	replay := func() {
+		f.a.Announced(f.now, lateRequest)
+		f.a.Announced(f.now, lateFull)
+		f.b.Merge(f.now, lateNews)
+	}
+
+	require.Nil(t, h.local.Leave("t"))
+	f.run(time.Second)
+	replay()
+	f.requireBoth(t, "jadual")
+
+	h.announce(t, f.now, "t", "jadual")
+	f.run(time.Second)
+	f.requireBoth(t, "jadual", "h/t READY")
+	f.hosts = nil
+	f.run(5 * time.Second)
+	replay()
+	f.requireBoth(t, "jadual")
+
+	// A new run of the host without the target: the old run's messages count for nothing.
+	f.hosts = []*host{newHost("h", 11)}
+	f.run(time.Second)
+	replay()
+	f.requireBoth(t, "jadual")
+}
+
+// TestReplacedHostTakesOverItsAddress starts a host under the IP number of one
+// that has just died: nobody is sent there for the dead host's targets.
+func TestReplacedHostTakesOverItsAddress(t *testing.T) {
+	old, replacement := newHost("old", 10), newHost("new", 20)
+	replacement.local.options.NodeAddress = old.local.options.NodeAddress
+	old.announce(t, epoch, "t", "jadual")
+	replacement.announce(t, epoch, "u", "premis")
+	f := newFleet(old)
+	f.run(6 * time.Second)
+	f.requireBoth(t, "jadual", "old/t READY")
+	f.hosts = []*host{replacement}
+	f.run(1500 * time.Millisecond)
+	f.requireBoth(t, "jadual")
+	f.requireBoth(t, "premis", "new/u READY")
+}
+
+// TestFlappingTargetIsHeldBack lets a target come and go: it is held back while
+// its service has another target, and shown in the end, or when it is the only one.
+func TestFlappingTargetIsHeldBack(t *testing.T) {
+	steady, flapping := newHost("steady", 10), newHost("flapping", 10)
+	steady.announce(t, epoch, "s", "jadual")
+	f := newFleet(steady, flapping)
+	for range 5 {
+		flapping.announce(t, f.now, "f", "jadual")
+		f.run(time.Second)
+		require.Nil(t, flapping.local.Leave("f"))
+		f.run(time.Second)
+	}
+	flapping.announce(t, f.now, "f", "jadual")
+	f.run(time.Second)
+	f.requireBoth(t, "jadual", "steady/s READY")
+	f.hosts = []*host{flapping}
+	f.run(5 * time.Second)
+	f.requireBoth(t, "jadual", "flapping/f READY")
+
+	f.hosts = []*host{steady, flapping}
+	f.run(time.Second)
+	require.Nil(t, flapping.local.Leave("f"))
+	f.run(time.Second)
+	flapping.announce(t, f.now, "f", "jadual")
+	f.run(time.Minute)
+	f.requireBoth(t, "jadual", "steady/s READY", "flapping/f READY")
+}
+
+// TestReplicasApart keeps two replicas apart while a target leaves and a node
+// dies: nothing that has gone comes back when they meet again.
+func TestReplicasApart(t *testing.T) {
+	stays, leaves, dies := newHost("stays", 10), newHost("leaves", 10), newHost("dies", 10)
+	for _, h := range []*host{stays, leaves, dies} {
+		h.announce(t, epoch, "t", "jadual")
+	}
+	f := newFleet(stays, leaves, dies)
+	f.run(6 * time.Second)
+	for _, apart := range []time.Duration{10 * time.Second, forgetAfter + time.Minute, 2*forgetTombstoneAfter + time.Minute} {
+		require.Nil(t, leaves.local.Leave("t"))
+		f.hosts = []*host{stays, leaves}
+		for end := f.now.Add(apart); f.now.Before(end); f.now = f.now.Add(time.Second) {
+			stays.heartbeat(f.now, f.a)
+			leaves.heartbeat(f.now, f.a)
+			f.a.Expire(f.now)
+			f.b.Expire(f.now)
+		}
+		require.Equal(t, []string{"stays/t READY"}, names(f.a, "jadual"))
+		require.Empty(t, names(f.b, "jadual"))
+		f.run(2 * time.Second)
+		f.requireBoth(t, "jadual", "stays/t READY")
+		leaves.announce(t, f.now, "t", "jadual")
+		f.hosts = []*host{stays, leaves, dies}
+		f.run(time.Minute)
+		f.requireBoth(t, "jadual", "stays/t READY", "leaves/t READY", "dies/t READY")
+	}
+}
+
+// TestDirectoryKeepsItsViewThroughARestartedReplica moves a node to a replica
+// that knows only a part of the fleet yet.
+func TestDirectoryKeepsItsViewThroughARestartedReplica(t *testing.T) {
+	h, g := newHost("h", 10), newHost("g", 10)
+	h.announce(t, epoch, "t", "jadual")
+	g.announce(t, epoch, "t", "jadual")
+	f := newFleet(h, g)
+	f.run(6 * time.Second)
+	d := NewDirectory()
+	d.Want("jadual")
+	pull(f.a, d)
+	all := []string{"g/t READY", "h/t READY"}
+	require.Equal(t, all, viewNames(d, "jadual"))
+	d.Apply(&apiv1.SyncResponse{})
+	require.Equal(t, all, viewNames(d, "jadual"))
+
+	f.a = NewRelay(RelayOptions{Node: "a", Incarnation: 2})
+	f.b = NewRelay(RelayOptions{Node: "b", Incarnation: 2})
+	require.Nil(t, h.local.SetState("t", apiv1.TargetState_TARGET_STATE_LEAVING))
+	f.hosts = []*host{h}
+	f.run(time.Second)
+	pull(f.a, d)
+	require.Equal(t, []string{"g/t READY", "h/t LEAVING"}, viewNames(d, "jadual"))
+	f.run(DefaultWarmUp)
+	pull(f.a, d)
+	require.Equal(t, []string{"h/t LEAVING"}, viewNames(d, "jadual"))
+}
+
+// TestUpdatesHoldOnlyNews asks again: a node gets only services that it follows
+// and whose targets have changed.
+func TestUpdatesHoldOnlyNews(t *testing.T) {
+	h := newHost("h", 10)
+	h.announce(t, epoch, "t", "jadual")
+	f := newFleet(h)
+	f.run(6 * time.Second)
+	_, refusal := h.local.Announce(f.now, Announcement{Name: "u", Service: "premis", Address: "127.0.0.1:81"})
+	require.Nil(t, refusal)
+	f.run(time.Second)
+	f.requireBoth(t, "premis", "h/u READY")
+	d := NewDirectory()
+	d.Want("jadual")
+	request := func() *apiv1.SyncRequest {
+		req := &apiv1.SyncRequest{}
+		d.Fill(req)
+		return req
+	}
+	require.Len(t, f.a.Updates(request()), 1)
+	pull(f.a, d)
+	require.Empty(t, f.a.Updates(request()))
+	f.run(10 * time.Second)
+	require.Empty(t, f.a.Updates(request()), "heartbeats alone are no news")
+	require.Nil(t, h.local.Leave("t"))
+	f.run(time.Second)
+	require.Len(t, f.a.Updates(request()), 1)
+}
--- a/internal/registry/show.go
+++ b/internal/registry/show.go
@@ -34,7 +34,7 @@
 }
 
 func (r *Relay) showRecord(now time.Time, n *node, rec *record, usable bool) {
-	if !usable || !rec.present(n) {
+	if !usable || n.outdated(rec) {
 		if rec.shown != nil {
 			rec.flaps.vanished(now)
 			r.setShown(rec, nil)
@@ -54,11 +54,6 @@
 	}
 }
 
-// present reports whether the record describes a target of the node's current run.
-func (rec *record) present(n *node) bool {
-	return rec.message.Incarnation == n.incarnation && rec.message.State != apiv1.TargetState_TARGET_STATE_GONE
-}
-
 // hasOther reports whether the service of a hidden target has a shown one.
 func (r *Relay) hasOther(rec *record) bool {
 	s := r.services[rec.message.Service]
