Pick a target again as soon as its drain ends

Cause: a call that met a drained target marked it as draining for 5 s at the node that called, and nothing cleared the mark when operators ended the drain. Change: the mark goes when the registry or the configuration shows the target as taking work again, and it lasts 1 s, because the node beside the target may learn of the end later. Shown by: TestTargetIsPickedAgainAfterItsDrain fails without the change and passes with it.

--- a/internal/route/member.go
+++ b/internal/route/member.go
@@ -19,8 +19,9 @@
 	minLatency = 100 * time.Microsecond
 	// reportLife is how long a load report counts.
 	reportLife = time.Second
-	// drainLife is how long a report of draining counts without another.
-	drainLife = 5 * time.Second
+	// drainLife is how long a report of draining counts without another. The registry names
+	// targets that leave within about this time; a drain that ended must not count for longer.
+	drainLife = time.Second
 	// coldWeight is the share of a warm target that slow start begins with.
 	coldWeight = 0.1
 )
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -99,10 +99,11 @@
 	members map[string]known
 }
 
-// known is a member and the start of the target that it describes.
+// known is a member and what the last update said of the target that it describes.
 type known struct {
 	*member
-	started time.Time
+	started   time.Time
+	takesWork bool
 }
 
 // table is an immutable set of targets that take work.
@@ -133,6 +134,10 @@
 		if !ok || !k.started.Equal(t.Started) {
 			k = known{member: newMember(p.rampFrom(now, t)), started: t.Started}
 		}
+		if takesWork(t) && !k.takesWork {
+			k.drainingUntilNs.Store(never)
+		}
+		k.takesWork = takesWork(t)
 		members[t.ID()] = k
 		switch {
 		case !takesWork(t):
--- a/internal/route/picker_test.go
+++ b/internal/route/picker_test.go
@@ -73,6 +73,27 @@
 	require.Equal(t, outcome.RanNo, refusal.Ran)
 }
 
+func TestTargetIsPickedAgainAfterItsDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := picker(target("a", "kl"))
+		refuse := func() {
+			c, refusal := p.Pick(Query{})
+			require.Nil(t, refusal)
+			c.Done(Observation{Kind: Refused, Load: &apiv1.LoadReport{Draining: true}})
+		}
+		leaving := target("a", "kl")
+		leaving.State = apiv1.TargetState_TARGET_STATE_LEAVING
+		refuse()
+		p.Update([]*registry.Target{leaving})
+		p.Update([]*registry.Target{target("a", "kl")})
+		refuse()
+		_, refusal := p.Pick(Query{})
+		require.NotNil(t, refusal, "the node beside the target may not know yet that the drain ended")
+		time.Sleep(drainLife)
+		require.Equal(t, 10, picks(t, p, 10, succeed)["a"])
+	})
+}
+
 func TestExcludedTargetsAreNotPicked(t *testing.T) {
 	a, b := target("a", "kl"), target("b", "kl")
 	p := picker(a, b)
