--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -1,15 +1,12 @@
 package cli
 
 import (
-	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -21,7 +18,6 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/guavaford/guavaford/internal/config"
-	"github.com/guavaford/guavaford/internal/node"
 	"github.com/guavaford/guavaford/internal/operator"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/settings"
@@ -223,23 +219,10 @@
 // runningMetrics starts a node and reads its metrics as an operator does.
 func runningMetrics(t *testing.T) []byte {
 	t.Helper()
-	s := settings.Default()
-	s.DataFolder = filepath.Join(t.TempDir(), "data")
-	s.LogLevel = "error"
-	for _, address := range []*string{&s.CallersAddress, &s.TargetsAddress, &s.OperatorAddress, &s.PeerAddress} {
-		*address = freeAddress(t)
-	}
-	require.Empty(t, s.Check())
-	ctx, cancel := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- node.Run(ctx, s) }()
-	defer func() {
-		cancel()
-		require.NoError(t, <-stopped)
-	}()
+	s := startNode(t)
 	var body []byte
 	require.Eventually(t, func() bool {
-		token, err := os.ReadFile(filepath.Join(s.DataFolder, "operator-token"))
+		token, err := os.ReadFile(tokenFile(s))
 		if err != nil {
 			return false
 		}
@@ -249,15 +232,6 @@
 	return body
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func getMetrics(address, token string) ([]byte, error) {
 	r, err := http.NewRequest(http.MethodGet, "http://"+address+"/debug/vars", nil)
 	if err != nil {
