Show leased rate tokens in the status

Cause: status promised leases and showed none. Change: rate.Client.Holdings lists tokens and waiting requests for each organisation; the node's status and the command status show them. check of a folder is tested on the faulty files.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -168,6 +168,16 @@
 	require.Equal(t, 1, f.control.proposals)
 }
 
+func TestCheckOfAFolderReportsEveryFile(t *testing.T) {
+	f := newFleet(t)
+	const folder = "../config/testdata/faulty"
+	said := f.fails(ExitInvalid, "check", "-f", folder)
+	for _, file := range []string{"alias", "bad-label", "bad-unit", "not-yaml", "out-of-range", "unknown-field", "wrong-type"} {
+		require.Contains(t, said, filepath.Join(folder, file+".yaml")+":")
+	}
+	require.Contains(t, said, "already defined at", "two files define the same document")
+}
+
 func TestLabelMovesAnOrganisationToAnotherRate(t *testing.T) {
 	f := newFleet(t)
 	f.ok("apply", "-f", f.file("a.yaml", strings.ReplaceAll(example, "burst: 20", "burst: 20, optional: true")))
--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -262,6 +262,7 @@
 	h.onlyTo("first", "second")
 	h.cli("drain", "-l", "generation=one", "work")
 	h.onlyTo("second")
+	require.Regexp(t, `(?s)LEASE OF +TOKENS +WAITING\ncourt `, h.cli("status"))
 	served, faults := run.finish()
 	require.Empty(t, faults, "of %d calls", served)
 	require.Greater(t, served, 100)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -130,9 +130,9 @@
 	for _, t := range n.Targets {
 		targets.add(t.Name, t.Service, strconv.Itoa(t.InFlight), strconv.Itoa(t.Queued), strconv.Itoa(t.Limit), strconv.FormatBool(t.Draining))
 	}
-	leases := &table{header: []string{"LEASE OF", "TOKENS"}}
+	leases := &table{header: []string{"LEASE OF", "TOKENS", "WAITING"}}
 	for _, l := range n.Leases {
-		leases.add(l.Organisation, unsigned(l.Tokens))
+		leases.add(l.Organisation, strconv.FormatUint(l.Tokens, 10), strconv.Itoa(l.Waiting))
 	}
 	return []*table{node, targets, leases}
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -32,6 +32,9 @@
 		})
 	}
 	slices.SortFunc(s.Targets, func(a, b operator.LocalTarget) int { return cmp.Compare(a.Name, b.Name) })
+	for _, h := range p.rates.Holdings() {
+		s.Leases = append(s.Leases, operator.LocalLease{Organisation: h.Organisation, Tokens: h.Tokens, Waiting: h.Waiting})
+	}
 	return s
 }
 
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -44,7 +44,9 @@
 // LocalLease is the rate tokens that the answering node holds for an organisation.
 type LocalLease struct {
 	Organisation string `json:"organisation"`
-	Tokens       uint32 `json:"tokens"`
+	Tokens       uint64 `json:"tokens"`
+	// Waiting is the number of requests that wait for a token.
+	Waiting int `json:"waiting"`
 }
 
 // Status is the fleet as control sees it, and the answering node.
--- /dev/null
+++ b/internal/rate/holdings.go
@@ -0,0 +1,41 @@
+package rate
+
+import (
+	"slices"
+	"strings"
+)
+
+// Holding is what a node holds for one organisation at the moment.
+type Holding struct {
+	Organisation string
+	// Tokens are leased and not spent yet.
+	Tokens uint64
+	// Waiting is the number of requests that wait for a token.
+	Waiting int
+}
+
+// Holdings lists the organisations with leased tokens or waiting requests, by name.
+func (c *Client) Holdings() []Holding {
+	l := c.lessee.Load()
+	now := l.since(c.clock.Now())
+	var all []Holding
+	for i := range l.stripes {
+		for name, a := range *l.stripes[i].Load() {
+			h := Holding{Organisation: name, Tokens: a.tokens(now), Waiting: int(a.queued.Load())}
+			if h.Tokens > 0 || h.Waiting > 0 {
+				all = append(all, h)
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b Holding) int { return strings.Compare(a.Organisation, b.Organisation) })
+	return all
+}
+
+// tokens returns the tokens of the current lease that may still be spent.
+func (a *account) tokens(now int64) uint64 {
+	h := a.lease.Load()
+	if h == nil || now >= h.validUntil.Load() {
+		return 0
+	}
+	return uint64(max(0, h.available.Load()))
+}
