Give a silent operators' address five seconds, not twelve

Cause: with the default timeout of 15 s a node that took the connection and stayed silent left 3 s for all others. Change: the server answers within 4 s, the client waits 5 s for each.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -19,7 +19,8 @@
 
 // Times of the client.
 const (
-	attemptTimeout = 12 * time.Second
+	// attemptTimeout is above requestTimeout, so that a server that lives answers first.
+	attemptTimeout = 5 * time.Second
 	dialTimeout    = 2 * time.Second
 	firstBackoff   = 100 * time.Millisecond
 	maxBackoff     = 2 * time.Second
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -22,7 +22,7 @@
 
 // Times of the server.
 const (
-	requestTimeout    = 10 * time.Second
+	requestTimeout    = 4 * time.Second
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 15 * time.Second
 	writeTimeout      = 30 * time.Second
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/telemetry"
@@ -116,6 +118,20 @@
 	}
 }
 
+// FuzzReadChange checks that no body panics, and that what is accepted can be sent to control.
+func FuzzReadChange(f *testing.F) {
+	f.Add([]byte(`{"id":"a","anyRevision":true,"upserts":[{"kind":"Class","name":"c","spec":{"priority":9}}]}`))
+	f.Add([]byte(`{"id":"a","expectedRevision":0,"issueKeys":[{"organisation":"o","hash":"AAAA"}],"withdrawKeys":[1]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		change, problem := readChange(bytes.NewReader(body))
+		require.True(t, (change == nil) != (problem == nil))
+		if change != nil {
+			_, err := proto.Marshal(change)
+			require.NoError(t, err)
+		}
+	})
+}
+
 func TestStatusAnswersWithoutControl(t *testing.T) {
 	w := send(&scriptedControl{}, "Bearer "+testToken, http.MethodGet, pathStatus, "")
 	require.Equal(t, http.StatusOK, w.Code)
