Measure what the path through two nodes adds to a call

internal/bench runs whole nodes on loopback. callcost makes the same calls directly and through two nodes, in turns in the same run.

--- /dev/null
+++ b/internal/bench/callcost/main.go
@@ -0,0 +1,232 @@
+// Command callcost measures what the path caller, node, node, target adds to a
+// call over loopback, against the same call made directly in the same run. The
+// two are measured in turns, and the median of the turns is printed.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"runtime/pprof"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/guavaford/guavaford/internal/bench"
+)
+
+const configuration = `
+kind: Organisation
+name: bench
+---
+kind: Rate
+name: bench
+spec: {selector: "", perSecond: 1000000, burst: 1000000}
+---
+kind: Class
+name: standard
+spec: {selector: "", priority: 5}
+---
+kind: Route
+name: echo
+spec: {pathPrefix: /echo, service: echo, timeout: 30s, maxBody: 8MiB}
+`
+
+const (
+	smallBody = 128
+	largeBody = 1 << 20
+	// addedTarget is the stated target for the time added at p99 at half load.
+	addedTarget = 630 * time.Microsecond
+	targetSlots = 4096
+)
+
+// scenario is one line of the report.
+type scenario struct {
+	name       string
+	bytes      int
+	concurrent int
+	calls      int
+}
+
+var scenarios = []scenario{
+	{"128 B, 1 at a time", smallBody, 1, 400},
+	{"128 B, 64 at a time", smallBody, 64, 6000},
+	{"128 B, 1,000 at a time", smallBody, 1000, 6000},
+	{"1 MiB, 1 at a time", largeBody, 1, 30},
+	{"1 MiB, 64 at a time", largeBody, 64, 192},
+}
+
+// path is one of the two ways that are compared.
+type path struct {
+	url, key string
+}
+
+func main() {
+	rounds := flag.Int("rounds", 5, "turns of each measurement")
+	profile := flag.String("cpuprofile", "", "file for a processor profile")
+	only := flag.String("only", "", "measure only scenarios whose name contains this")
+	flag.Parse()
+	if err := profiled(*profile, func() error { return run(context.Background(), *rounds, *only) }); err != nil {
+		fmt.Fprintln(os.Stderr, "callcost:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, rounds int, only string) error {
+	fleet, err := bench.Start(ctx, bench.Options{Nodes: 2, Replicas: 1})
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	direct, through, err := prepare(ctx, fleet)
+	if err != nil {
+		return err
+	}
+	fmt.Println("| calls | way | p50 ms | p99 ms | calls/s | processor us/call | allocations/call | failed |")
+	fmt.Println("|---|---|---|---|---|---|---|---|")
+	var peak float64
+	for _, s := range scenarios {
+		if !strings.Contains(s.name, only) {
+			continue
+		}
+		load := bench.Load{Client: bench.NewClient(s.concurrent), Body: make([]byte, s.bytes), Calls: s.calls, Concurrent: s.concurrent}
+		_, t := compare(ctx, s.name, load, direct, through, rounds)
+		if s.bytes == smallBody {
+			peak = max(peak, t.throughput)
+		}
+	}
+	if only != "" {
+		return nil
+	}
+	return halfLoad(ctx, peak, direct, through, rounds)
+}
+
+// profiled runs f, with a processor profile if a file is named.
+func profiled(file string, f func() error) error {
+	if file == "" {
+		return f()
+	}
+	out, err := os.Create(file)
+	if err != nil {
+		return errors.Wrap(err, "make the profile")
+	}
+	defer func() { _ = out.Close() }()
+	if err := pprof.StartCPUProfile(out); err != nil {
+		return errors.Wrap(err, "start the profile")
+	}
+	defer pprof.StopCPUProfile()
+	return f()
+}
+
+// prepare configures the fleet and waits until calls through it succeed.
+func prepare(ctx context.Context, fleet *bench.Fleet) (direct, through path, err error) {
+	if err := fleet.Apply(ctx, "bench.yaml", []byte(configuration)); err != nil {
+		return direct, through, err
+	}
+	target, err := fleet.AddTarget(ctx, 1, "echo-1", "echo", targetSlots, http.HandlerFunc(bench.Echo))
+	if err != nil {
+		return direct, through, err
+	}
+	key, err := fleet.IssueKey(ctx, "bench")
+	if err != nil {
+		return direct, through, err
+	}
+	direct = path{url: target.URL() + "/echo"}
+	through = path{url: fleet.CallersURL(0) + "/echo", key: key}
+	probe := bench.Load{Client: bench.NewClient(1), URL: through.url, Key: key, Calls: 1, Concurrent: 1}
+	var last *bench.Result
+	for range 100 {
+		if last = probe.Run(ctx); len(last.Failed) == 0 {
+			return direct, through, nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return direct, through, errors.Errorf("no call came through: %v", last.Failed)
+}
+
+// halfLoad prints the time added at half of the highest throughput that was seen.
+func halfLoad(ctx context.Context, peak float64, direct, through path, rounds int) error {
+	rate := peak / 2
+	load := bench.Load{Client: bench.NewClient(256), Body: make([]byte, smallBody), Calls: int(2 * rate), Concurrent: 256, Rate: rate}
+	name := fmt.Sprintf("128 B, %.0f/s (half load)", rate)
+	d, t := compare(ctx, name, load, direct, through, rounds)
+	added := t.p99 - d.p99
+	verdict := "met"
+	if added > addedTarget {
+		verdict = "missed"
+	}
+	fmt.Printf("\nAdded at p99 at half load: %s ms; target %s ms: %s\n", ms(added), ms(addedTarget), verdict)
+	return nil
+}
+
+// figures are the medians of several turns.
+type figures struct {
+	p50, p99    time.Duration
+	throughput  float64
+	processor   time.Duration
+	allocations float64
+	failed      map[string]int
+}
+
+// compare measures both ways in turns and prints a line for each and for their difference.
+func compare(ctx context.Context, name string, load bench.Load, direct, through path, rounds int) (d, t figures) {
+	var directResults, throughResults []*bench.Result
+	for range rounds {
+		directResults = append(directResults, along(ctx, load, direct))
+		throughResults = append(throughResults, along(ctx, load, through))
+	}
+	d, t = summarise(directResults, load.Calls), summarise(throughResults, load.Calls)
+	d.print(name, "direct")
+	t.print(name, "two nodes")
+	fmt.Printf("| %s | added | %s | %s | x %.2f | %d | %.0f | |\n", name, ms(t.p50-d.p50), ms(t.p99-d.p99),
+		t.throughput/d.throughput, (t.processor - d.processor).Microseconds(), t.allocations-d.allocations)
+	return d, t
+}
+
+// along runs a load by one way.
+func along(ctx context.Context, load bench.Load, p path) *bench.Result {
+	load.URL, load.Key = p.url, p.key
+	return load.Run(ctx)
+}
+
+func summarise(results []*bench.Result, calls int) figures {
+	f := figures{failed: make(map[string]int)}
+	f.p50 = median(results, func(r *bench.Result) time.Duration { return r.Quantile(50) })
+	f.p99 = median(results, func(r *bench.Result) time.Duration { return r.Quantile(99) })
+	f.throughput = median(results, (*bench.Result).Throughput)
+	f.processor = median(results, func(r *bench.Result) time.Duration { return r.Processor / time.Duration(calls) })
+	f.allocations = median(results, func(r *bench.Result) float64 { return float64(r.Allocations) / float64(calls) })
+	for _, r := range results {
+		for what, n := range r.Failed {
+			f.failed[what] += n
+		}
+	}
+	return f
+}
+
+func median[T int64 | float64 | time.Duration](results []*bench.Result, value func(*bench.Result) T) T {
+	values := make([]T, 0, len(results))
+	for _, r := range results {
+		values = append(values, value(r))
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+func (f figures) print(name, way string) {
+	var failed []string
+	for what, n := range f.failed {
+		failed = append(failed, fmt.Sprintf("%d %s", n, what))
+	}
+	slices.Sort(failed)
+	fmt.Printf("| %s | %s | %s | %s | %.0f | %d | %.0f | %s |\n", name, way, ms(f.p50), ms(f.p99),
+		f.throughput, f.processor.Microseconds(), f.allocations, strings.Join(failed, ", "))
+}
+
+func ms(d time.Duration) string {
+	return fmt.Sprintf("%.3f", float64(d)/float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,156 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxLatency is the largest latency that a histogram holds.
+	maxLatency = time.Minute
+	// significantDigits is the precision of histograms.
+	significantDigits = 3
+)
+
+// Load describes the calls of one measurement.
+type Load struct {
+	Client *http.Client
+	URL    string
+	// Key is sent as bearer token; empty for calls that need none.
+	Key  string
+	Body []byte
+	// Calls is the number of calls, Concurrent how many are in flight.
+	Calls      int
+	Concurrent int
+	// Rate is the number of calls a second, started at even intervals; 0 starts the next
+	// call when one has ended.
+	Rate float64
+}
+
+// Result is what a measurement showed.
+type Result struct {
+	// Latencies holds the calls that were answered whole, in nanoseconds from the time at
+	// which each was due.
+	Latencies *hdrhistogram.Histogram
+	Elapsed   time.Duration
+	// Processor is the processor time of this process, Allocations its allocations.
+	Processor   time.Duration
+	Allocations uint64
+	// Failed counts calls by the status or error that they ended in.
+	Failed map[string]int
+}
+
+// Quantile returns a latency; q is in percent.
+func (r *Result) Quantile(q float64) time.Duration {
+	return time.Duration(r.Latencies.ValueAtQuantile(q))
+}
+
+// Throughput returns whole answers a second.
+func (r *Result) Throughput() float64 {
+	return float64(r.Latencies.TotalCount()) / r.Elapsed.Seconds()
+}
+
+// Run makes the calls of a load.
+func (l *Load) Run(ctx context.Context) *Result {
+	r := &Result{Latencies: newHistogram(), Failed: make(map[string]int)}
+	var mu sync.Mutex
+	var next atomic.Int64
+	var workers sync.WaitGroup
+	processor, allocations := usage()
+	begun := time.Now()
+	for range l.Concurrent {
+		workers.Go(func() {
+			own := newHistogram()
+			failed := make(map[string]int)
+			for i := next.Add(1) - 1; i < int64(l.Calls) && ctx.Err() == nil; i = next.Add(1) - 1 {
+				due := l.waitTurn(begun, i)
+				if err := l.call(ctx); err != nil {
+					failed[err.Error()]++
+					continue
+				}
+				_ = own.RecordValue(int64(time.Since(due)))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			r.Latencies.Merge(own)
+			for what, n := range failed {
+				r.Failed[what] += n
+			}
+		})
+	}
+	workers.Wait()
+	r.Elapsed = time.Since(begun)
+	processorAfter, allocationsAfter := usage()
+	r.Processor, r.Allocations = processorAfter-processor, allocationsAfter-allocations
+	return r
+}
+
+// waitTurn waits until call i is due and returns that time.
+func (l *Load) waitTurn(begun time.Time, i int64) time.Time {
+	if l.Rate <= 0 {
+		return time.Now()
+	}
+	due := begun.Add(time.Duration(float64(i) / l.Rate * float64(time.Second)))
+	time.Sleep(time.Until(due))
+	return due
+}
+
+func (l *Load) call(ctx context.Context) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.URL, bytes.NewReader(l.Body))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	if l.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+l.Key)
+	}
+	resp, err := l.Client.Do(req)
+	if err != nil {
+		return errors.New("no answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	n, err := io.Copy(io.Discard, resp.Body)
+	switch {
+	case err != nil:
+		return errors.New("cut answer")
+	case resp.StatusCode != http.StatusOK:
+		return errors.New(resp.Status)
+	case n != int64(len(l.Body)):
+		return fmt.Errorf("answer of %d bytes", n)
+	}
+	return nil
+}
+
+// NewClient returns an HTTP client that keeps as many connections as there are calls in flight.
+func NewClient(connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConns:        connections,
+		MaxIdleConnsPerHost: connections,
+		DisableCompression:  true,
+	}}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(maxLatency), significantDigits)
+}
+
+// usage returns the processor time and the allocations of this process so far.
+func usage() (time.Duration, uint64) {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		panic("getrusage of the own process can't fail: " + err.Error())
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano()), m.Mallocs
+}
