--- a/internal/bench/callcost/main.go
+++ b/internal/bench/callcost/main.go
@@ -86,8 +86,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Println("| calls | way | p50 ms | p99 ms | calls/s | processor us/call | allocations/call | failed |")
-	fmt.Println("|---|---|---|---|---|---|---|---|")
+	fmt.Println("| calls | way | p50 ms | p99 ms | calls/s | processor us/call | allocations/call | kB/call | failed |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
 	var peak float64
 	for _, s := range scenarios {
 		if !strings.Contains(s.name, only) {
@@ -169,6 +169,7 @@
 	throughput  float64
 	processor   time.Duration
 	allocations float64
+	bytes       float64
 	failed      map[string]int
 }
 
@@ -182,8 +183,8 @@
 	d, t = summarise(directResults, load.Calls), summarise(throughResults, load.Calls)
 	d.print(name, "direct")
 	t.print(name, "two nodes")
-	fmt.Printf("| %s | added | %s | %s | x %.2f | %d | %.0f | |\n", name, ms(t.p50-d.p50), ms(t.p99-d.p99),
-		t.throughput/d.throughput, (t.processor - d.processor).Microseconds(), t.allocations-d.allocations)
+	fmt.Printf("| %s | added | %s | %s | x %.2f | %d | %.0f | %.1f | |\n", name, ms(t.p50-d.p50), ms(t.p99-d.p99),
+		t.throughput/d.throughput, (t.processor - d.processor).Microseconds(), t.allocations-d.allocations, (t.bytes-d.bytes)/1e3)
 	return d, t
 }
 
@@ -198,8 +199,9 @@
 	f.p50 = median(results, func(r *bench.Result) time.Duration { return r.Quantile(50) })
 	f.p99 = median(results, func(r *bench.Result) time.Duration { return r.Quantile(99) })
 	f.throughput = median(results, (*bench.Result).Throughput)
-	f.processor = median(results, func(r *bench.Result) time.Duration { return r.Processor / time.Duration(calls) })
-	f.allocations = median(results, func(r *bench.Result) float64 { return float64(r.Allocations) / float64(calls) })
+	f.processor = median(results, func(r *bench.Result) time.Duration { return r.Used.Processor / time.Duration(calls) })
+	f.allocations = median(results, func(r *bench.Result) float64 { return float64(r.Used.Allocations) / float64(calls) })
+	f.bytes = median(results, func(r *bench.Result) float64 { return float64(r.Used.Bytes) / float64(calls) })
 	for _, r := range results {
 		for what, n := range r.Failed {
 			f.failed[what] += n
@@ -223,8 +225,8 @@
 		failed = append(failed, fmt.Sprintf("%d %s", n, what))
 	}
 	slices.Sort(failed)
-	fmt.Printf("| %s | %s | %s | %s | %.0f | %d | %.0f | %s |\n", name, way, ms(f.p50), ms(f.p99),
-		f.throughput, f.processor.Microseconds(), f.allocations, strings.Join(failed, ", "))
+	fmt.Printf("| %s | %s | %s | %s | %.0f | %d | %.0f | %.1f | %s |\n", name, way, ms(f.p50), ms(f.p99),
+		f.throughput, f.processor.Microseconds(), f.allocations, f.bytes/1e3, strings.Join(failed, ", "))
 }
 
 func ms(d time.Duration) string {
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -44,9 +44,8 @@
 	// which each was due.
 	Latencies *hdrhistogram.Histogram
 	Elapsed   time.Duration
-	// Processor is the processor time of this process, Allocations its allocations.
-	Processor   time.Duration
-	Allocations uint64
+	// Used is what this process used meanwhile: callers, nodes and targets together.
+	Used Usage
 	// Failed counts calls by the status or error that they ended in.
 	Failed map[string]int
 }
@@ -67,7 +66,7 @@
 	var mu sync.Mutex
 	var next atomic.Int64
 	var workers sync.WaitGroup
-	processor, allocations := usage()
+	before := usage()
 	begun := time.Now()
 	for range l.Concurrent {
 		workers.Go(func() {
@@ -91,8 +90,12 @@
 	}
 	workers.Wait()
 	r.Elapsed = time.Since(begun)
-	processorAfter, allocationsAfter := usage()
-	r.Processor, r.Allocations = processorAfter-processor, allocationsAfter-allocations
+	after := usage()
+	r.Used = Usage{
+		Processor:   after.Processor - before.Processor,
+		Allocations: after.Allocations - before.Allocations,
+		Bytes:       after.Bytes - before.Bytes,
+	}
 	return r
 }
 
@@ -144,13 +147,20 @@
 	return hdrhistogram.New(1, int64(maxLatency), significantDigits)
 }
 
-// usage returns the processor time and the allocations of this process so far.
-func usage() (time.Duration, uint64) {
+// Usage is processor time, and the number and bytes of allocations.
+type Usage struct {
+	Processor   time.Duration
+	Allocations uint64
+	Bytes       uint64
+}
+
+// usage returns what this process has used so far.
+func usage() Usage {
 	var r syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
 		panic("getrusage of the own process can't fail: " + err.Error())
 	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return time.Duration(r.Utime.Nano() + r.Stime.Nano()), m.Mallocs
+	return Usage{Processor: time.Duration(r.Utime.Nano() + r.Stime.Nano()), Allocations: m.Mallocs, Bytes: m.TotalAlloc}
 }
