--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -129,6 +130,7 @@
 	n.checkAddresses(report)
 	n.checkNames(report)
 	n.checkControl(report)
+	n.checkFiles(report)
 	n.checkRest(report)
 	return problems
 }
@@ -216,6 +218,28 @@
 	}
 }
 
+// readableByOthers is set in the mode of files that other users can read.
+const readableByOthers os.FileMode = 0o044
+
+// checkFiles wants the files that are named to be there and private. Those that are not named are
+// made in the data folder.
+func (n *Node) checkFiles(report report) {
+	for _, f := range []struct{ setting, path string }{
+		{flagFleetSecretFile, n.FleetSecretFile}, {flagOperatorTokenFile, n.OperatorTokenFile},
+	} {
+		if f.path == "" {
+			continue
+		}
+		info, err := os.Stat(f.path)
+		switch {
+		case err != nil || !info.Mode().IsRegular():
+			report(f.setting, f.path, "a file that exists")
+		case info.Mode()&readableByOthers != 0:
+			report(f.setting, f.path, "a file that only its owner can read; run: chmod 600 "+f.path)
+		}
+	}
+}
+
 func (n *Node) checkRest(report report) {
 	if n.DataFolder == "" {
 		report(flagDataFolder, n.DataFolder, "the path of a folder")
