--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -47,18 +47,23 @@
 			c.names = append(c.names, name)
 			c.hosts[name] = &testHost{name: name, fs: vfs.NewMem()}
 		}
+		defer c.close()
 		for _, name := range c.names {
 			c.start(name)
 		}
 		c.eventually(10*time.Second, func() bool { return c.settled(n) })
 		fn(c)
-		for _, name := range c.names {
-			c.stop(name)
-		}
-		c.net.Close()
 	})
 }
 
+// close ends everything, also after a failure.
+func (c *cluster) close() {
+	for _, name := range c.names {
+		c.stop(name)
+	}
+	c.net.Close()
+}
+
 // start runs a new process on a host.
 func (c *cluster) start(name string) {
 	h := c.hosts[name]
@@ -72,7 +77,7 @@
 		FS:              h.fs,
 		Identity:        id,
 		Address:         name,
-		DataCentre:      "kl",
+		DataCentre:      "dc-" + name,
 		InitialReplicas: c.names,
 		Pool:            h.pool,
 		Server:          server,
@@ -193,23 +198,3 @@
 }
 
 const organisationKind = "Organisation"
-
-func TestChangesSurviveTheLossOfTheLeader(t *testing.T) {
-	inCluster(t, 3, func(c *cluster) {
-		first := c.propose("host-2", change("a"))
-		require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, first.Result)
-		old := c.leader()
-		c.crash(old)
-		lost := time.Now()
-		survivor := c.other(old)
-		outcome := c.propose(survivor, change("b"))
-		require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, outcome.Result)
-		require.LessOrEqual(t, time.Since(lost), 2*time.Second, "failover")
-		t.Logf("failover %v", time.Since(lost))
-		resent := c.propose(survivor, change("a"))
-		require.Equal(t, first.Revision, resent.Revision)
-		c.start(old)
-		c.eventually(5*time.Second, func() bool { return c.settled(3) })
-		require.Equal(t, outcome.Revision, c.hosts[old].replica.store.Head().Load().Revision)
-	})
-}
--- /dev/null
+++ b/internal/control/failure_test.go
@@ -0,0 +1,460 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/vfs"
+)
+
+// Bounds from the stated targets.
+const (
+	failoverBound = 2 * time.Second
+	inForceBound  = 2 * time.Second
+	trafficBound  = 20 << 10 // bytes a second
+)
+
+func (c *cluster) accept(name string, change *apiv1.Change) uint64 {
+	c.t.Helper()
+	outcome := c.propose(name, change)
+	require.Equal(c.t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, outcome.Result, "%v", outcome)
+	return outcome.Revision
+}
+
+func (c *cluster) sync(name string, revision uint64) *apiv1.SyncResponse {
+	response, err := c.hosts[name].replica.Sync(context.Background(),
+		&apiv1.SyncRequest{Node: "node", Incarnation: 1, Revision: revision})
+	require.NoError(c.t, err)
+	return response
+}
+
+func (c *cluster) revision(name string) uint64 {
+	return c.hosts[name].replica.store.Head().Load().Revision
+}
+
+func TestChangesSurviveTheLossOfTheLeader(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		first := c.accept("host-2", change("a"))
+		for i := range 5 {
+			old := c.leader()
+			c.crash(old)
+			lost := time.Now()
+			survivor := c.other(old)
+			next := c.accept(survivor, change(fmt.Sprintf("b-%d", i)))
+			took := time.Since(lost)
+			require.LessOrEqual(t, took, failoverBound)
+			t.Logf("failover of control %v", took)
+			require.Equal(t, first, c.accept(survivor, change("a")), "a resend gets the recorded outcome")
+			c.start(old)
+			c.eventually(5*time.Second, func() bool { return c.settled(3) && c.revision(old) == next })
+		}
+	})
+}
+
+func TestRacingChangesHaveOneWinner(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		for round := range 5 {
+			expected := c.sync("host-1", 0).VouchedRevision
+			var mu sync.Mutex
+			results := map[apiv1.ChangeResult][]*apiv1.ChangeOutcome{}
+			var group sync.WaitGroup
+			for i := range 6 {
+				raced := change(fmt.Sprintf("race-%d-%d", round, i))
+				raced.AnyRevision, raced.ExpectedRevision = false, expected
+				for resend := range 2 {
+					group.Add(1)
+					go func() {
+						defer group.Done()
+						outcome := c.propose(c.names[(i+resend)%3], raced)
+						mu.Lock()
+						defer mu.Unlock()
+						results[outcome.Result] = append(results[outcome.Result], outcome)
+					}()
+				}
+			}
+			if round == 3 {
+				time.Sleep(2 * time.Millisecond)
+				old := c.leader()
+				c.hosts[old].replica.TransferLeadership(context.Background())
+				c.hosts[old].replica.stopping.Store(false)
+			}
+			group.Wait()
+			require.Len(t, results[apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED], 2, "the winner and its resend")
+			require.Len(t, results[apiv1.ChangeResult_CHANGE_RESULT_CONFLICT], 10)
+			for _, outcome := range results[apiv1.ChangeResult_CHANGE_RESULT_CONFLICT] {
+				require.Equal(t, expected+1, outcome.Revision, "a conflict names the current revision")
+			}
+			require.Equal(t, expected+1, c.sync("host-2", 0).VouchedRevision)
+		}
+	})
+}
+
+func TestSameIdWithAnotherChangeIsRefused(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		c.accept("host-1", change("a"))
+		other := change("a")
+		other.Upserts[0].Name = "another"
+		require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_ID_REUSED, c.propose("host-3", other).Result)
+		require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_INVALID, c.propose("host-3", &apiv1.Change{Id: "empty", AnyRevision: true}).Result)
+	})
+}
+
+func TestSecondHostLostRightAfterARepair(t *testing.T) {
+	for _, first := range []string{"host-1", "host-3"} {
+		inCluster(t, 3, func(c *cluster) {
+			revision := uint64(0)
+			for i := range 20 {
+				revision = c.accept("host-2", change(fmt.Sprint(i)))
+			}
+			old := c.hosts[first].replica.log.Identity()
+			c.crash(first)
+			c.hosts[first].fs.Wipe()
+			c.start(first)
+			took := c.eventually(10*time.Second, func() bool { return c.settled(3) })
+			t.Logf("repair of %s: %v", first, took)
+			repaired := c.hosts[first].replica.log.Identity()
+			require.NotEqual(t, old.Replica, repaired.Replica, "a lost data folder means a new identity")
+			require.Equal(t, old.Cluster, repaired.Cluster, "and never a new cluster")
+			c.crash("host-2")
+			for i := range 5 {
+				revision = c.accept(c.other("host-2"), change(fmt.Sprint("after-", i)))
+			}
+			require.Equal(t, revision, c.sync(first, 0).VouchedRevision)
+			require.Len(t, c.sync(first, 0).Snapshot.GetResources(), 25)
+		})
+	}
+}
+
+func TestRestartAfter500Changes(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		follower := c.other(c.leader())
+		c.stop(follower)
+		revision := uint64(0)
+		for i := range 500 {
+			revision = c.accept(c.other(follower), change(fmt.Sprint(i)))
+		}
+		c.start(follower)
+		took := c.eventually(5*time.Second, func() bool { return c.revision(follower) == revision })
+		t.Logf("catch-up after 500 changes %v", took)
+		require.LessOrEqual(t, took, inForceBound)
+		old := c.leader()
+		c.crash(old)
+		c.start(old)
+		c.eventually(5*time.Second, func() bool { return c.settled(3) && c.revision(old) == revision })
+		for _, name := range c.names {
+			c.crash(name)
+		}
+		for _, name := range c.names {
+			c.start(name)
+		}
+		took = c.eventually(5*time.Second, func() bool {
+			return c.settled(3) && c.revision("host-1") == revision && c.revision("host-2") == revision && c.revision("host-3") == revision
+		})
+		t.Logf("restart of all at once after 500 changes %v", took)
+		require.Equal(t, uint64(1), c.accept("host-2", change("0")), "outcomes are recorded across restarts")
+	})
+}
+
+func TestIsolatedHostVouchesForNothing(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		for _, isolated := range []string{c.leader(), c.other(c.leader())} {
+			before := c.accept("host-1", change("before-"+isolated))
+			c.eventually(time.Second, func() bool { return c.revision(isolated) == before })
+			rest := c.other(isolated)
+			c.net.Partition([]string{isolated}, []string{rest, c.other(isolated, rest)})
+			c.eventually(failoverBound, func() bool { return c.leader() != "" && c.sync(rest, 0).Vouched })
+			newest := c.accept(rest, change("meanwhile-"+isolated))
+			time.Sleep(10 * time.Minute)
+			stale := c.sync(isolated, newest)
+			require.False(t, stale.Vouched)
+			require.Nil(t, stale.Snapshot, "a node that is ahead gets nothing older")
+			lost := c.propose(isolated, change("lost-"+isolated))
+			require.NotEqual(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, lost.Result)
+			term := c.hosts[rest].term()
+			c.net.Heal()
+			c.eventually(3*time.Second, func() bool { return c.sync(isolated, 0).Vouched })
+			require.GreaterOrEqual(t, c.sync(isolated, 0).VouchedRevision, newest)
+			require.Equal(t, term, c.hosts[rest].term(), "the return disturbs no leader")
+			c.eventually(5*time.Second, func() bool { return c.settled(3) })
+		}
+	})
+}
+
+// term returns the term of group 0.
+func (h *testHost) term() uint64 {
+	status, err := h.replica.Status(context.Background())
+	if err != nil {
+		return 0
+	}
+	return status.Groups[0].Term
+}
+
+func TestFullDiskStopsOneReplica(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		full := c.leader()
+		c.accept(full, change("a"))
+		c.hosts[full].fs.SetFaults(vfs.Faults{Capacity: 1})
+		acknowledged := c.accept(c.other(full), change("b"))
+		err := <-c.hosts[full].stopped
+		require.ErrorIs(t, err, syscall.ENOSPC)
+		c.hosts[full].cancel = nil
+		c.net.Crash(full)
+		c.hosts[full].fs.SetFaults(vfs.Faults{})
+		c.start(full)
+		c.eventually(5*time.Second, func() bool { return c.settled(3) && c.revision(full) == acknowledged })
+	})
+}
+
+func TestSilentConnectionsChangeNothing(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		leader := c.leader()
+		term := c.hosts[leader].term()
+		for i := range 6 {
+			other := c.other(leader)
+			if i%2 == 1 {
+				other = c.other(leader, other)
+			}
+			c.net.Silence(leader, other)
+			if i >= 2 {
+				c.net.Silence(other, leader)
+			}
+			started := time.Now()
+			c.accept(other, change(fmt.Sprint(i)))
+			require.LessOrEqual(t, time.Since(started), 2*time.Second)
+			time.Sleep(3 * time.Second)
+		}
+		require.Equal(t, term, c.hosts[leader].term())
+	})
+}
+
+func TestPlannedStopHandsLeadershipOver(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		stopped := false
+		var longest time.Duration
+		var group sync.WaitGroup
+		leader := c.leader()
+		operators := c.other(leader)
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for i := 0; !stopped; i++ {
+				started := time.Now()
+				c.accept(operators, change(fmt.Sprint(i)))
+				longest = max(longest, time.Since(started))
+			}
+		}()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		c.hosts[leader].replica.TransferLeadership(ctx)
+		require.NoError(t, ctx.Err())
+		c.stop(leader)
+		time.Sleep(time.Second)
+		stopped = true
+		group.Wait()
+		t.Logf("longest change across a planned stop of the leader %v", longest)
+		require.Less(t, longest, 500*time.Millisecond, "shorter than an election timeout")
+	})
+}
+
+// TestRateShardsHaveOneOwner watches who may grant tokens while owners crash and are cut off.
+func TestRateShardsHaveOneOwner(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		granting := func(name string, shard uint32) (owned, grants bool) {
+			h := c.hosts[name]
+			if h.cancel == nil {
+				return false, false
+			}
+			epoch, since, ok := h.replica.ownership.Owned(shard)
+			wait := h.replica.o.Rate.WithDefaults().TakeoverWait()
+			return ok, ok && (epoch == 1 || time.Since(since) >= wait)
+		}
+		watch := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				for shard := range uint32(4) {
+					owners, grants := 0, 0
+					for _, name := range c.names {
+						o, g := granting(name, shard)
+						if o {
+							owners++
+						}
+						if g {
+							grants++
+						}
+					}
+					require.False(t, grants > 0 && owners > 1, "shard %d has %d owners, %d of which grant", shard, owners, grants)
+				}
+			}
+		}
+		allGranted := func() bool {
+			for shard := range uint32(4) {
+				granted := false
+				for _, name := range c.names {
+					_, g := granting(name, shard)
+					granted = granted || g
+				}
+				if !granted {
+					return false
+				}
+			}
+			return true
+		}
+		c.eventually(10*time.Second, allGranted)
+		for i := range 3 {
+			lost := c.names[i]
+			if i == 1 {
+				c.net.Partition([]string{lost}, []string{c.other(lost), c.other(lost, c.other(lost))})
+			} else {
+				c.crash(lost)
+			}
+			started := time.Now()
+			for !allGranted() {
+				watch(50 * time.Millisecond)
+				require.Less(t, time.Since(started), 10*time.Second)
+			}
+			t.Logf("all rate shards granted again after %v", time.Since(started))
+			c.net.Heal()
+			if c.hosts[lost].cancel == nil {
+				c.start(lost)
+			}
+			watch(5 * time.Second)
+			c.eventually(20*time.Second, func() bool { return c.settled(3) && allGranted() })
+		}
+	})
+}
+
+func TestRunRecordsAreClaimedOnceAmidLeaderChanges(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		winners := map[string]int{}
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		claim := func(key string, number uint64) {
+			defer group.Done()
+			request := &apiv1.RunRequest{Shard: uint32(len(key)+int(key[0])) % 3, Claim: &apiv1.RunClaim{
+				Organisation: "o", Key: key, Digest: []byte("d"), Node: "n", Incarnation: 1, Number: number,
+			}}
+			for try := 0; ; try++ {
+				name := c.names[(int(number)+try)%3]
+				if c.hosts[name].cancel == nil {
+					continue
+				}
+				response, err := c.hosts[name].replica.Run(context.Background(), request)
+				if err == nil && response.Record.State == apiv1.RunState_RUN_STATE_CLAIMED {
+					mu.Lock()
+					winners[key]++
+					mu.Unlock()
+				}
+				if err == nil && response.Record.State != apiv1.RunState_RUN_STATE_UNAVAILABLE {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		for i := range 30 {
+			key := fmt.Sprint(i)
+			for number := range uint64(4) {
+				group.Add(1)
+				go claim(key, number)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if i == 10 {
+				c.crash(c.leader())
+			}
+		}
+		group.Wait()
+		for i := range 30 {
+			require.Equal(t, 1, winners[fmt.Sprint(i)])
+		}
+	})
+}
+
+func TestClientFindsALiveReplica(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		pool := peer.NewPool(peer.Identity{Node: "node", Incarnation: 1}, c.net.Host("node"), peer.PoolOptions{Seed: 3})
+		defer pool.Close()
+		client := NewClient(pool, []string{"host-3", "host-1"}, ClientOptions{DataCentre: "dc-host-2", Seed: 1})
+		sync := func() *apiv1.SyncResponse {
+			response, err := client.Sync(context.Background(), &apiv1.SyncRequest{Node: "node", Incarnation: 1})
+			require.NoError(t, err)
+			require.True(t, response.Vouched)
+			return response
+		}
+		sync()
+		time.Sleep(homeInterval + time.Second)
+		sync()
+		require.Equal(t, "host-2", client.current, "its own data centre, once it knows the replicas")
+		c.crash("host-2")
+		started := time.Now()
+		sync()
+		require.Less(t, time.Since(started), failoverBound)
+		response, err := client.Propose(context.Background(), &apiv1.ProposeRequest{Change: change("a")})
+		require.NoError(t, err)
+		require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, response.Outcome.Result)
+		c.crash("host-1")
+		response, err = client.Propose(context.Background(), &apiv1.ProposeRequest{Change: change("b")})
+		require.NoError(t, err)
+		require.NotEqual(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, response.Outcome.Result, "no quorum is left")
+	})
+}
+
+func TestRemovedReplicaStops(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		removed := c.other(c.leader())
+		id := c.hosts[removed].replica.log.Identity().Replica
+		reply, err := c.hosts[c.other(removed)].replica.Control(context.Background(), &apiv1.ControlRequest{Remove: id})
+		require.NoError(t, err)
+		require.Empty(t, reply.Error)
+		require.ErrorIs(t, <-c.hosts[removed].stopped, ErrRemoved)
+		c.hosts[removed].cancel = nil
+		c.eventually(3*time.Second, func() bool { return c.settled(2) })
+	})
+}
+
+func TestIdleTrafficIsSmall(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		const nodes = 30
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		for i := range nodes {
+			name := fmt.Sprintf("node-%d", i)
+			pool := peer.NewPool(peer.Identity{Node: name, Incarnation: 1}, c.net.Host(name), peer.PoolOptions{Seed: uint64(i + 1)})
+			client := NewClient(pool, c.names, ClientOptions{Seed: uint64(i + 1)})
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				defer pool.Close()
+				request := &apiv1.SyncRequest{Node: name, Incarnation: 1, WaitNs: int64(time.Second)}
+				for ctx.Err() == nil {
+					if response, err := client.Sync(ctx, request); err == nil && response.Vouched {
+						request.Revision = response.VouchedRevision
+					}
+				}
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		const window = 20 * time.Second
+		before := c.net.Traffic("node-0")
+		leaderBefore, followerBefore := c.net.Traffic(c.leader()), c.net.Traffic(c.other(c.leader()))
+		time.Sleep(window)
+		report := func(what string, bytes, messages int64) {
+			t.Logf("%s sends %d B/s in %d messages/s", what, bytes/int64(window.Seconds()), messages/int64(window.Seconds()))
+			require.Less(t, bytes/int64(window.Seconds()), int64(trafficBound))
+		}
+		after := c.net.Traffic("node-0")
+		report("an idle node", int64(after.Bytes-before.Bytes), int64(after.Messages-before.Messages))
+		after = c.net.Traffic(c.leader())
+		report("an idle leader", int64(after.Bytes-leaderBefore.Bytes), int64(after.Messages-leaderBefore.Messages))
+		after = c.net.Traffic(c.other(c.leader()))
+		report("an idle follower", int64(after.Bytes-followerBefore.Bytes), int64(after.Messages-followerBefore.Messages))
+		cancel()
+		group.Wait()
+	})
+}
