Stand again soon after a split vote; send placement only when it changed

Cause: two candidates that stood in the same round trip split the vote and both waited a whole election timeout.

Also: every heartbeat carried the placement with all shard owners. A request now names the version it holds. A new leader no longer takes the replicas that it has not heard yet for dead and moves their rate shards.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -14,7 +14,7 @@
 // Times of the leader's duties.
 const (
 	// replicaTimeout is the time without a sign of life after which an owner's shards move.
-	replicaTimeout = 1200 * time.Millisecond
+	replicaTimeout = 900 * time.Millisecond
 	// balancePause is the least time between two moves that only even out the load.
 	balancePause = 10 * time.Second
 	// leaderPause is the time between two looks at where leaders should be.
@@ -129,7 +129,9 @@
 
 // candidate is a live replica that may own shards.
 type candidate struct {
-	info        *apiv1.ReplicaInfo
+	info *apiv1.ReplicaInfo
+	// incarnation is 0 while the leader has not heard from the process itself: it keeps its
+	// shards and gets no others.
 	incarnation uint64
 }
 
@@ -141,7 +143,7 @@
 		case p.Replica.Learner:
 		case p.Replica.Id == r.log.Identity().Replica:
 			live = append(live, candidate{p.Replica, r.o.Identity.Incarnation})
-		case now.Sub(p.Heard) < replicaTimeout && r.known[p.Replica.Id].incarnation != 0:
+		case now.Sub(p.Heard) < replicaTimeout:
 			live = append(live, candidate{p.Replica, r.known[p.Replica.Id].incarnation})
 		}
 	}
@@ -192,8 +194,16 @@
 		counts[i]++
 	}
 	plan := &apiv1.ShardAssignment{}
+	for i, c := range live {
+		if c.incarnation == 0 {
+			counts[i] += len(owners) // comes last
+		}
+	}
 	for _, orphan := range orphans {
 		i := indexOfMin(counts)
+		if live[i].incarnation == 0 {
+			break
+		}
 		counts[i]++
 		plan.Owners = append(plan.Owners, assign(orphan, live[i]))
 	}
@@ -211,6 +221,9 @@
 // evenOut moves one shard if the most and the least loaded replica differ by more than one.
 func evenOut(owners []*apiv1.ShardOwner, live []candidate, counts []int) *apiv1.ShardOwner {
 	least := indexOfMin(counts)
+	if slices.ContainsFunc(live, func(c candidate) bool { return c.incarnation == 0 }) {
+		return nil
+	}
 	for _, owner := range owners {
 		if i := ownerIndex(owner, live); counts[i] == slices.Max(counts) && counts[i] > counts[least]+1 {
 			return assign(owner, live[least])
@@ -221,7 +234,7 @@
 
 func ownerIndex(owner *apiv1.ShardOwner, live []candidate) int {
 	return slices.IndexFunc(live, func(c candidate) bool {
-		return c.info.Id == owner.Replica && c.incarnation == owner.Incarnation
+		return c.info.Id == owner.Replica && (c.incarnation == owner.Incarnation || c.incarnation == 0)
 	})
 }
 
--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -23,6 +23,7 @@
 	outbox map[uint64][]*apiv1.RaftMessage
 	// beforeSync, if set, is called when messages are in the outbox that may overtake a sync.
 	beforeSync func()
+	sizes      engineSizes
 	// rewriteAt is the size at which the log file is rewritten.
 	rewriteAt int64
 	nextRead  uint64
@@ -44,15 +45,27 @@
 	Restore(data []byte) error
 }
 
-// Sizes that decide when snapshots are taken and the log file is rewritten.
-const (
-	minRewriteBytes  = 8 << 20
-	minSnapshotBytes = 1 << 20
-	snapshotEntries  = 4096
+// engineSizes decide when snapshots are taken and the log file is rewritten.
+type engineSizes struct {
+	// rewriteBytes is the least size at which the log file is rewritten.
+	rewriteBytes int64
+	// snapshotBytes is the least size of the log behind a snapshot at which the next is taken, and
+	// the largest size of a snapshot that is also taken by snapshotEntries.
+	snapshotBytes   int
+	snapshotEntries uint64
 	// keepEntries stay in memory behind a snapshot for replicas that are a little behind.
-	keepEntries = 1024
-	readTimeout = time.Second
-)
+	keepEntries uint64
+}
+
+// defaultSizes are the sizes of a running replica.
+var defaultSizes = engineSizes{
+	rewriteBytes:    8 << 20,
+	snapshotBytes:   1 << 20,
+	snapshotEntries: 4096,
+	keepEntries:     1024,
+}
+
+const readTimeout = time.Second
 
 // group is one replicated group of an engine.
 type group struct {
@@ -111,7 +124,8 @@
 		log:       log,
 		rnd:       rnd,
 		outbox:    map[uint64][]*apiv1.RaftMessage{},
-		rewriteAt: minRewriteBytes,
+		sizes:     defaultSizes,
+		rewriteAt: defaultSizes.rewriteBytes,
 		// Reads of an earlier process must not be confused with those of this one.
 		nextRead: rnd.Uint64(),
 	}
@@ -362,7 +376,7 @@
 // maintain takes snapshots and rewrites the log file when they have grown.
 func (e *engine) maintain() error {
 	for i, g := range e.groups {
-		if g.snapshotDue() {
+		if e.snapshotDue(g) {
 			if err := e.snapshot(uint32(i), g); err != nil {
 				return err
 			}
@@ -374,16 +388,16 @@
 	if err := e.log.Rewrite(e.records()); err != nil {
 		return err
 	}
-	e.rewriteAt = max(minRewriteBytes, 4*e.log.Size())
+	e.rewriteAt = max(e.sizes.rewriteBytes, 4*e.log.Size())
 	return nil
 }
 
 // snapshotDue balances the work of a snapshot against the log that it makes unnecessary.
-func (g *group) snapshotDue() bool {
-	if g.bytesSince >= max(minSnapshotBytes, g.snapshotBytes) {
+func (e *engine) snapshotDue(g *group) bool {
+	if g.bytesSince >= max(e.sizes.snapshotBytes, g.snapshotBytes) {
 		return true
 	}
-	return g.appliedByEngine >= g.snapshotIndex+snapshotEntries && g.snapshotBytes <= minSnapshotBytes
+	return g.appliedByEngine >= g.snapshotIndex+e.sizes.snapshotEntries && g.snapshotBytes <= e.sizes.snapshotBytes
 }
 
 // snapshot writes the applied state of a group and drops the log before it.
@@ -402,7 +416,7 @@
 		return err
 	}
 	g.noteSnapshot(s)
-	g.core.Compact(s.Index, keepEntries)
+	g.core.Compact(s.Index, e.sizes.keepEntries)
 	e.metrics.snapshots++
 	return nil
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -117,6 +117,7 @@
 	ownership *ownership
 	senders   *senders
 	stopping  atomic.Bool
+	built     atomic.Pointer[builtPlacement]
 
 	// Owned by the loop.
 	engine  *engine
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -4,7 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/store"
 )
 
 // Bounds of a node's heartbeat.
@@ -61,17 +65,39 @@
 	response.Deltas = news.Deltas
 	r.relay.Fill(request, response)
 	response.Placement = r.placement()
-	return news.Snapshot != nil || len(news.Deltas) > 0 || len(response.Services) > 0
+	held := request.PlacementVersion != 0
+	moved := response.Placement.Version != request.PlacementVersion
+	if !moved {
+		response.Placement = nil
+	}
+	return news.Snapshot != nil || len(news.Deltas) > 0 || len(response.Services) > 0 || (held && moved)
+}
+
+// builtPlacement is a placement with what it was built from.
+type builtPlacement struct {
+	head      *store.Head
+	view      *view
+	placement *apiv1.Placement
 }
 
-// placement tells nodes where control duties are.
+// placement tells nodes where control duties are. It is built once for each state.
 func (r *Replica) placement() *apiv1.Placement {
-	head := r.store.Head().Load()
-	return &apiv1.Placement{
-		Revision:   head.Revision,
-		Replicas:   r.view.Load().members,
+	head, v := r.store.Head().Load(), r.view.Load()
+	if built := r.built.Load(); built != nil && built.head == head && built.view == v {
+		return built.placement
+	}
+	placement := &apiv1.Placement{
+		Replicas:   v.members,
 		RateOwners: head.Owners,
 		RateShards: head.RateShards,
 		RunShards:  head.RunShards,
 	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(placement)
+	if err != nil {
+		panic("control: a placement does not encode: " + err.Error())
+	}
+	placement.Version = max(1, xxhash.Sum64(data))
+	placement.Revision = head.Revision
+	r.built.Store(&builtPlacement{head, v, placement})
+	return placement
 }
--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -184,6 +184,8 @@
 		Revision:    l.state.revision,
 		Leaving:     closed(l.leaving),
 		WaitNs:      int64(heartbeatWait),
+
+		PlacementVersion: l.o.Board.Placement.Load().GetVersion(),
 	}
 	l.o.Directory.Fill(req)
 	l.o.Local.Fill(req, l.announced, l.wantAnnounced)
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -127,7 +127,8 @@
 
 	electionDeadline time.Time
 	// lastLeader is when the leader was heard last; votes are refused for a while after it.
-	lastLeader time.Time
+	lastLeader   time.Time
+	lastLeaderID uint64
 
 	votes    map[uint64]bool
 	lead     *leadership // non-nil while leader
@@ -308,6 +309,13 @@
 	return m
 }
 
+// resetCampaign draws when to stand again if this attempt does not succeed. Nobody leads, so that the
+// pause need only outlast a round trip and tell two candidates apart.
+func (c *Core) resetCampaign() {
+	spread := time.Duration(c.cfg.Rand.Int64N(int64(c.cfg.Election / 2)))
+	c.electionDeadline = c.now.Add(c.cfg.Election/4 + spread)
+}
+
 // resetElection draws the next election timeout.
 func (c *Core) resetElection() {
 	spread := time.Duration(c.cfg.Rand.Int64N(int64(c.cfg.Election)))
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -107,6 +107,7 @@
 // preCampaign asks whether an election could be won.
 func (c *Core) preCampaign() {
 	c.becomeFollower(c.term, 0)
+	c.resetCampaign()
 	c.role = PreCandidate
 	c.votes = map[uint64]bool{c.cfg.ID: true}
 	if c.wins() {
@@ -119,6 +120,7 @@
 // campaign stands for election in the next term.
 func (c *Core) campaign(transfer bool) {
 	c.becomeFollower(c.term+1, 0)
+	c.resetCampaign()
 	c.role = Candidate
 	c.vote = c.cfg.ID
 	c.votes = map[uint64]bool{c.cfg.ID: true}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -15,6 +15,7 @@
 		c.becomeFollower(c.term, m.From)
 	}
 	c.lastLeader = c.now
+	c.lastLeaderID = m.From
 	c.resetElection()
 }
 
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -64,6 +64,13 @@
 	c.votes = nil
 	c.lead = &leadership{progress: map[uint64]*progress{}, confirmed: c.now, wantRound: true}
 	c.syncProgress()
+	for id, p := range c.lead.progress {
+		// Nothing can be said yet against the others; the earlier leader has been silent.
+		p.heard = c.now
+		if id == c.lastLeaderID {
+			p.heard = c.lastLeader
+		}
+	}
 	entry := c.appendOwn(apiv1.EntryKind_ENTRY_KIND_EMPTY, nil)
 	c.lead.termStart = entry.Index
 }
--- a/internal/store/change.go
+++ b/internal/store/change.go
@@ -163,11 +163,13 @@
 	s.snapshot = nil
 	delta := &apiv1.ConfigDelta{Revision: s.revision, Deletes: change.Deletes}
 	for _, del := range change.Deletes {
+		s.liveBytes -= proto.Size(s.resources[ref{del.Kind, del.Name}])
 		delete(s.resources, ref{del.Kind, del.Name})
 	}
 	for _, resource := range change.Upserts {
 		stored := proto.CloneOf(resource)
 		stored.Revision = s.revision
+		s.liveBytes += proto.Size(stored) - proto.Size(s.resources[ref{stored.Kind, stored.Name}])
 		s.resources[ref{stored.Kind, stored.Name}] = stored
 		delta.Upserts = append(delta.Upserts, stored)
 	}
@@ -180,6 +182,7 @@
 			Revision:     s.revision,
 		}
 		s.keys = append(s.keys, stored)
+		s.liveBytes += proto.Size(stored)
 		delta.Issued = append(delta.Issued, stored)
 		numbers = append(numbers, stored.Number)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -64,6 +64,7 @@
 	rateShards uint32
 	runShards  uint32
 	snapshot   *apiv1.ConfigSnapshot // cached; nil after a change
+	liveBytes  int                   // of all resources and keys, as encoded
 }
 
 // ref identifies a resource.
