Fold changes at nodes as the store does

Cause: the store makes the deletes of a change before its upserts, the nodes made them after: a document in both was in force in the store and gone at the nodes. The folding also stood twice, here and in config.State. Change: the nodes' state uses config.State, which refuses gaps and older

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"k8s.io/apimachinery/pkg/labels"
 
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/outcome"
 )
 
@@ -84,6 +85,28 @@
 	require.True(t, r.Idempotent(http.MethodPut))
 }
 
+func TestStateFollowsRevisionsInOrder(t *testing.T) {
+	class := func(name string, revision uint64) *apiv1.Resource {
+		return &apiv1.Resource{Kind: KindClass, Name: name, Revision: revision}
+	}
+	s := &State{}
+	require.NoError(t, s.Load(&apiv1.ConfigSnapshot{Revision: 3, Resources: []*apiv1.Resource{class("a", 1), class("b", 3)}}))
+	old := s.Clone()
+	require.Error(t, s.Add(&apiv1.ConfigDelta{Revision: 5}), "a gap")
+	require.Error(t, s.Add(&apiv1.ConfigDelta{Revision: 3}), "a revision that is in force already")
+	require.Error(t, s.Load(&apiv1.ConfigSnapshot{Revision: 2}), "an older snapshot")
+	// The store makes deletes before upserts, so a document in both stays.
+	require.NoError(t, s.Add(&apiv1.ConfigDelta{
+		Revision: 4,
+		Deletes:  []*apiv1.ResourceRef{{Kind: KindClass, Name: "a"}, {Kind: KindClass, Name: "b"}},
+		Upserts:  []*apiv1.Resource{class("a", 4)},
+	}))
+	require.Equal(t, []*apiv1.Resource{class("a", 4)}, s.Resources())
+	require.Equal(t, uint64(4), s.Revision())
+	require.Len(t, old.Resources(), 2)
+	require.Equal(t, uint64(3), old.Revision())
+}
+
 func TestMatch(t *testing.T) {
 	s := compileSample(t)
 	for _, c := range []struct {
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,11 @@
 	return nil
 }
 
+// Clone returns a state that changes apart from s. They share the documents.
+func (s *State) Clone() *State {
+	return &State{revision: s.revision, documents: maps.Clone(s.documents)}
+}
+
 // Add makes the change of the next revision. A delta of another revision is an error
 // and changes nothing.
 func (s *State) Add(delta *apiv1.ConfigDelta) error {
--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -181,7 +181,7 @@
 		Incarnation: l.o.Identity.Incarnation,
 		Address:     l.o.Address,
 		DataCentre:  l.o.DataCentre,
-		Revision:    l.state.revision,
+		Revision:    l.state.revision(),
 		Leaving:     closed(l.leaving),
 		WaitNs:      int64(heartbeatWait),
 
@@ -203,7 +203,7 @@
 	if err := l.applyConfiguration(resp); err != nil {
 		return err
 	}
-	if resp.GetVouched() && l.state.revision >= resp.GetVouchedRevision() {
+	if resp.GetVouched() && l.state.revision() >= resp.GetVouchedRevision() {
 		l.o.Board.Freshness.Publish(&board.Freshness{AskedAt: asked})
 	}
 	return nil
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -11,6 +11,7 @@
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/board"
+	"github.com/guavaford/guavaford/internal/config"
 	"github.com/guavaford/guavaford/internal/keys"
 	"github.com/guavaford/guavaford/internal/vfs"
 )
@@ -18,16 +19,9 @@
 // keptFile is the name of the file that keeps the configuration over a restart.
 const keptFile = "followed-configuration.pb"
 
-// resourceKey identifies a resource.
-type resourceKey struct {
-	kind string
-	name string
-}
-
 // state is the configuration as this node holds it.
 type state struct {
-	revision  uint64
-	resources map[resourceKey]*apiv1.Resource
+	documents *config.State
 	keys      *keys.Table
 	// records keeps what the key table was built from, for the kept file.
 	records map[uint64]*apiv1.KeyRecord
@@ -36,30 +30,29 @@
 // newState returns the state before the first answer.
 func newState() *state {
 	return &state{
-		resources: make(map[resourceKey]*apiv1.Resource),
+		documents: &config.State{},
 		keys:      keys.NewTable(nil),
 		records:   make(map[uint64]*apiv1.KeyRecord),
 	}
 }
 
-// errGap says that deltas don't follow on the revision held.
-var errGap = errors.New("deltas do not follow on the revision held")
-
 // applyConfiguration takes the configuration part of an answer over. What is not newer
 // than the revision in force is ignored.
 func (l *Loop) applyConfiguration(resp *apiv1.SyncResponse) error {
 	next := l.state
-	if s := resp.GetSnapshot(); s.GetRevision() > next.revision {
-		next = stateOf(s)
+	var err error
+	if s := resp.GetSnapshot(); s.GetRevision() > next.revision() {
+		if next, err = stateOf(s); err != nil {
+			return err
+		}
 	}
 	for _, d := range resp.GetDeltas() {
-		if d.GetRevision() <= next.revision {
+		if d.GetRevision() <= next.revision() {
 			continue
 		}
-		if d.GetRevision() != next.revision+1 {
-			return errors.Wrapf(errGap, "revision %d after %d", d.GetRevision(), next.revision)
+		if next, err = next.with(d); err != nil {
+			return err
 		}
-		next = next.with(d)
 	}
 	if next == l.state {
 		return nil
@@ -69,17 +62,17 @@
 
 // publish compiles a newer configuration and puts it in force.
 func (l *Loop) publish(next *state) error {
-	snapshot, err := l.compiler.Compile(next.revision, next.list())
+	snapshot, err := l.compiler.Compile(next.revision(), next.documents.Resources())
 	if err != nil {
-		return errors.Wrapf(err, "revision %d", next.revision)
+		return errors.Wrapf(err, "revision %d", next.revision())
 	}
 	l.state = next
 	l.o.Board.Configuration.Publish(&board.Configuration{
-		Revision: next.revision,
+		Revision: next.revision(),
 		Snapshot: snapshot,
 		Keys:     next.keys,
 	})
-	l.o.Log.Info("configuration in force", "revision", next.revision)
+	l.o.Log.Info("configuration in force", "revision", next.revision())
 	if err := l.keep(); err != nil {
 		// The configuration holds all the same; only a restart would start from an older one.
 		l.o.Log.Warn("configuration not kept", "err", err)
@@ -88,35 +81,32 @@
 }
 
 // stateOf returns the state that a snapshot describes.
-func stateOf(s *apiv1.ConfigSnapshot) *state {
+func stateOf(s *apiv1.ConfigSnapshot) (*state, error) {
 	n := newState()
-	n.revision = s.GetRevision()
-	for _, r := range s.GetResources() {
-		n.resources[resourceKey{r.GetKind(), r.GetName()}] = r
+	if err := n.documents.Load(s); err != nil {
+		return nil, err
 	}
 	for _, k := range s.GetKeys() {
 		n.records[k.GetNumber()] = k
 	}
 	n.keys = keys.NewTable(s.GetKeys())
-	return n
+	return n, nil
 }
 
-// with returns the state after one accepted change.
-func (s *state) with(d *apiv1.ConfigDelta) *state {
-	n := &state{
-		revision:  d.GetRevision(),
-		resources: maps.Clone(s.resources),
-		records:   s.records,
-		keys:      s.keys.With(d.GetIssued(), d.GetWithdrawn()),
-	}
-	for _, r := range d.GetUpserts() {
-		n.resources[resourceKey{r.GetKind(), r.GetName()}] = r
-	}
-	for _, r := range d.GetDeletes() {
-		delete(n.resources, resourceKey{r.GetKind(), r.GetName()})
+// revision returns the revision that the state holds.
+func (s *state) revision() uint64 {
+	return s.documents.Revision()
+}
+
+// with returns the state after one accepted change; s stays as it is but for its key records.
+func (s *state) with(d *apiv1.ConfigDelta) (*state, error) {
+	documents := s.documents.Clone()
+	if err := documents.Add(d); err != nil {
+		return nil, err
 	}
+	n := &state{documents: documents, records: s.records, keys: s.keys.With(d.GetIssued(), d.GetWithdrawn())}
 	n.recordKeys(d)
-	return n
+	return n, nil
 }
 
 // recordKeys notes issued and withdrawn keys. Records are shared with the older state,
@@ -134,30 +124,11 @@
 	}
 }
 
-// list returns the resources in a fixed order.
-func (s *state) list() []*apiv1.Resource {
-	all := slices.Collect(maps.Values(s.resources))
-	slices.SortFunc(all, func(a, b *apiv1.Resource) int {
-		if a.GetKind() != b.GetKind() {
-			return compare(a.GetKind(), b.GetKind())
-		}
-		return compare(a.GetName(), b.GetName())
-	})
-	return all
-}
-
-func compare(a, b string) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 // snapshot returns the state as it is kept on disk.
 func (s *state) snapshot() *apiv1.ConfigSnapshot {
 	return &apiv1.ConfigSnapshot{
-		Revision:  s.revision,
-		Resources: s.list(),
+		Revision:  s.revision(),
+		Resources: s.documents.Resources(),
 		Keys:      slices.Collect(maps.Values(s.records)),
 	}
 }
@@ -192,7 +163,11 @@
 		l.o.Log.Warn("kept configuration ignored", "err", err)
 		return nil
 	}
-	if err := l.publish(stateOf(&kept)); err != nil {
+	restored, err := stateOf(&kept)
+	if err == nil {
+		err = l.publish(restored)
+	}
+	if err != nil {
 		l.o.Log.Warn("kept configuration ignored", "err", err)
 	}
 	return nil
