Pace lease requests for the fleet in view, and hold a token for rare demand

Cause: each owner hears all nodes, since a node's organisations hash to all shards. At 6,700 nodes the pace of 10,000 requests a second meant a gap of 670 ms, longer than a request waits. Change: pace 25,000 requests a second; tokens are held ahead for twice the gap; one token is held for 2 s after a request where the burst allows it for all nodes.

--- a/internal/rate/account.go
+++ b/internal/rate/account.go
@@ -150,6 +150,10 @@
 	forecastAt int64
 	// reportWithin is how soon use should be reported while the bucket is scarce.
 	reportWithin int64
+	// hold is true when the burst allows a token to be held ahead of rare demand.
+	hold bool
+	// gap is the least time between two requests to the owner.
+	gap int64
 	// starting is true while a new owner of the shard grants nothing yet.
 	starting bool
 	// touched is the time of the last sample that saw a request.
@@ -190,11 +194,16 @@
 }
 
 // target returns the tokens to hold ahead of demand.
-func (a *account) target() int64 {
+func (a *account) target(now int64) int64 {
 	if a.scarce {
 		return 0
 	}
-	return int64(math.Round(a.perSecond * a.cfg.Horizon.Seconds()))
+	horizon := max(a.cfg.Horizon, 2*time.Duration(a.gap))
+	tokens := int64(math.Round(a.perSecond * horizon.Seconds()))
+	if a.hold && a.touched > 0 && now-a.touched < int64(a.cfg.HoldTime) {
+		tokens = max(tokens, 1)
+	}
+	return tokens
 }
 
 // expire gives back the tokens of a lease that has ended.
@@ -228,7 +237,7 @@
 	a.sample(now)
 	a.expire(now)
 	a.dropLate(now)
-	target := a.target()
+	target := a.target(now)
 	available := int64(0)
 	var n news
 	if h := a.lease.Load(); h != nil {
@@ -259,21 +268,23 @@
 		d.SpentAgeNs = max(0, now-h.lastSpent.Load())
 		available = h.available.Load()
 	}
-	d.Want = uint32(max(0, a.target()-available)) + d.Waiting
+	d.Want = uint32(max(0, a.target(now)-available)) + d.Waiting
 	return d
 }
 
 // accept applies an answer. sent is the demand that it answers, sentAt when that went out.
-func (a *account) accept(now, sentAt, stamp int64, sent *apiv1.TokenDemand, g *apiv1.TokenGrant) {
+func (a *account) accept(now, sentAt int64, resp *apiv1.LeaseResponse, sent *apiv1.TokenDemand, g *apiv1.TokenGrant) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.hold = g.GetHold()
+	a.gap = resp.GetMinGapNs()
 	a.scarce = g.GetScarce()
 	a.share = g.GetShare()
 	a.reportWithin = g.GetReportWithinNs()
 	a.askAt = now + g.GetRetryAfterNs()
 	a.forecastAt = now
 	a.starting = g.GetLeaseId() == 0 && g.GetRetryAfterNs() > 0
-	a.applyGrant(now, sentAt, stamp, sent, g)
+	a.applyGrant(now, sentAt, resp.GetOwnerTimeNs(), sent, g)
 	a.refuseHopeless(now)
 }
 
--- a/internal/rate/allocator.go
+++ b/internal/rate/allocator.go
@@ -176,6 +176,7 @@
 		Tokens:       l.granted,
 		TtlNs:        int64(a.cfg.LeaseTTL),
 		Scarce:       b.scarce(),
+		Hold:         b.allowsHolding(),
 	}
 	if g.Scarce {
 		g.ReportWithinNs = int64(a.reportWithin(b))
@@ -283,6 +284,12 @@
 	return b.waiting.Len() > 0 || b.level < reserveShare*b.burst
 }
 
+// allowsHolding reports whether every node that has a lease may hold a token ahead, whatever
+// its demand, with as much left of the burst for demand that moves.
+func (b *bucket) allowsHolding() bool {
+	return float64(len(b.accounts)) <= (1-reserveShare)*b.burst/2
+}
+
 // reportWithin returns how soon nodes should report spending, so that unreported spending
 // takes only a small part of the burst.
 func (a *Allocator) reportWithin(b *bucket) time.Duration {
--- a/internal/rate/config.go
+++ b/internal/rate/config.go
@@ -24,6 +24,8 @@
 	MinGap time.Duration
 	// Horizon is the demand, in time, for which a node holds tokens ahead.
 	Horizon time.Duration
+	// HoldTime is how long after a request a node holds a token ahead if the burst allows it.
+	HoldTime time.Duration
 	// MaxWait bounds how long a request waits for a token.
 	MaxWait time.Duration
 	// OverloadWait replaces MaxWait for arrivals whose wait can be told, once the waiting list
@@ -44,6 +46,7 @@
 	setDuration(&c.IdleInterval, 300*time.Millisecond)
 	setDuration(&c.MinGap, 5*time.Millisecond)
 	setDuration(&c.Horizon, 150*time.Millisecond)
+	setDuration(&c.HoldTime, 2*time.Second)
 	setDuration(&c.MaxWait, 500*time.Millisecond)
 	setDuration(&c.OverloadWait, 100*time.Millisecond)
 	setDuration(&c.RequestTimeout, 100*time.Millisecond)
@@ -51,7 +54,7 @@
 		c.DriftPPM = 1000
 	}
 	if c.OwnerRequestsPerSecond == 0 {
-		c.OwnerRequestsPerSecond = 10_000
+		c.OwnerRequestsPerSecond = 25_000
 	}
 	return c
 }
--- a/internal/rate/lessee.go
+++ b/internal/rate/lessee.go
@@ -300,7 +300,7 @@
 	}
 	for _, d := range out.Request.GetDemands() {
 		if g, ok := grants[d.GetOrganisation()]; ok {
-			l.account(d.GetOrganisation()).accept(l.since(now), l.since(out.SentAt), resp.GetOwnerTimeNs(), d, g)
+			l.account(d.GetOrganisation()).accept(l.since(now), l.since(out.SentAt), resp, d, g)
 		}
 	}
 }
--- a/internal/ratelab/world.go
+++ b/internal/ratelab/world.go
@@ -53,6 +53,8 @@
 // World is one run in virtual time.
 type World struct {
 	Link Link
+	// Shards is the number of shards, fixed before the first owner and node are added.
+	Shards uint32
 	// Messages counts the requests that nodes sent.
 	Messages int
 	// Bytes counts the bytes of requests and answers, without transport headers.
@@ -78,6 +80,7 @@
 func NewWorld(cfg rate.Config, seed uint64) *World {
 	return &World{
 		Link:   Link{Delay: time.Millisecond, Jitter: time.Millisecond / 2},
+		Shards: 1,
 		cfg:    cfg.WithDefaults(),
 		rnd:    rand.New(rand.NewPCG(seed, seed)),
 		epoch0: time.Unix(1_000_000, 0),
@@ -128,10 +131,10 @@
 	return c.world.epoch0.Add(c.world.now + drift)
 }
 
-// owner is a control replica that owns the shard for one epoch.
+// owner is a control replica that owns all shards for one epoch.
 type owner struct {
-	clock     driftingClock
-	allocator *rate.Allocator
+	clock      driftingClock
+	allocators []*rate.Allocator
 	// until is when its ownership ends, in virtual time.
 	until time.Duration
 }
@@ -145,11 +148,11 @@
 		start = start.Add(w.cfg.TakeoverWait())
 	}
 	epoch := uint64(len(w.owners) + 1)
-	w.owners = append(w.owners, &owner{
-		clock:     clk,
-		allocator: rate.NewAllocator(w.cfg, epoch, start),
-		until:     1 << 62,
-	})
+	o := &owner{clock: clk, until: 1 << 62}
+	for range w.Shards {
+		o.allocators = append(o.allocators, rate.NewAllocator(w.cfg, epoch, start))
+	}
+	w.owners = append(w.owners, o)
 }
 
 // lease answers a request at an owner.
@@ -158,12 +161,13 @@
 		return &apiv1.LeaseResponse{Sequence: req.GetSequence(), NotOwner: true}
 	}
 	now := o.clock.Now()
+	allocator := o.allocators[req.GetShard()]
 	for _, d := range req.GetDemands() {
 		if l, ok := w.limits[d.GetOrganisation()]; ok {
-			o.allocator.SetLimits(now, d.GetOrganisation(), l.perSecond, l.burst)
+			allocator.SetLimits(now, d.GetOrganisation(), l.perSecond, l.burst)
 		}
 	}
-	return o.allocator.Lease(now, req)
+	return allocator.Lease(now, req)
 }
 
 // Node is a node of the world.
@@ -207,7 +211,7 @@
 
 func (n *Node) start() {
 	id := rate.Identity{Node: fmt.Sprintf("n%d", n.number), Incarnation: n.restart + 1}
-	n.lessee = rate.NewLessee(n.world.cfg, id, 1, n.clock)
+	n.lessee = rate.NewLessee(n.world.cfg, id, n.world.Shards, n.clock)
 	n.wakeAt = 1 << 62
 	n.exchange()
 }
