--- /dev/null
+++ b/internal/capacity/model.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/config"
+)
+
+// The size in two years.
+const (
+	targetNodes          = 6700
+	targetServices       = 720
+	targetControlHosts   = 7
+	targetFollowers      = (targetNodes + targetControlHosts - 1) / targetControlHosts
+	targetCallsPerSecond = 440_000
+	// targetEntering is the requests a second that enter each node if no call has sub-calls.
+	targetEntering      = float64(targetCallsPerSecond) / targetNodes
+	targetOrganisations = 1000
+	targetKeys          = 100_000
+	// targetResources is 3 routes for each service, the organisations, and rates, classes
+	// and target policies beside them.
+	targetResources = 3*targetServices + targetOrganisations + 800
+	// keyOrganisations is how many organisations the keys of the model are spread over.
+	keyOrganisations = 20
+	// followedServices is how many services a node calls: at most one for each level below it,
+	// doubled.
+	followedServices = 12
+)
+
+// resources returns a valid configuration of about n documents.
+func resources(n int) []*apiv1.Resource {
+	var text strings.Builder
+	text.WriteString("kind: Rate\nname: all\nspec: {selector: size=any, perSecond: 100, burst: 50}\n")
+	text.WriteString("---\nkind: Class\nname: normal\nspec: {selector: work=normal, priority: 3}\n")
+	organisations := max(1, n/4)
+	for i := range organisations {
+		fmt.Fprintf(&text, "---\n%s", organisationText(i, 1))
+	}
+	for i := range max(1, n-organisations-2) {
+		fmt.Fprintf(&text, "---\nkind: Route\nname: route-%05d\nlabels: {work: normal}\nspec:\n", i)
+		fmt.Fprintf(&text, "  service: service-%04d\n  pathPrefix: /service-%04d/part-%d\n", i/3, i/3, i%3)
+		fmt.Fprintf(&text, "  methods: [GET]\n  timeout: 2s\n  extraAttempts: 3\n  maxBody: 64KiB\n")
+	}
+	return parse(text.String())
+}
+
+func organisationText(number, weight int) string {
+	return fmt.Sprintf("kind: Organisation\nname: organisation-%05d\nlabels: {size: any}\nspec: {weight: %d}\n", number, weight)
+}
+
+func parse(text string) []*apiv1.Resource {
+	parsed, problems := config.Parse("model.yaml", []byte(text))
+	if err := problems.Err(); err != nil {
+		panic("capacity: the model configuration is not valid: " + err.Error())
+	}
+	return parsed
+}
+
+// keyRecords returns n issued keys.
+func keyRecords(n int) []*apiv1.KeyRecord {
+	records := make([]*apiv1.KeyRecord, n)
+	for i := range records {
+		hash := make([]byte, 32)
+		copy(hash, fmt.Sprintf("%032d", i))
+		records[i] = &apiv1.KeyRecord{
+			Number:       uint64(i + 1),
+			Organisation: fmt.Sprintf("organisation-%05d", i%keyOrganisations),
+			Hash:         hash,
+			Revision:     uint64(i + 1),
+		}
+	}
+	return records
+}
+
+// targetRecord returns the record of the target on node number i, of one of the services.
+func targetRecord(i, services int) *apiv1.TargetRecord {
+	return &apiv1.TargetRecord{
+		Name:        "target",
+		Service:     fmt.Sprintf("service-%04d", i%services),
+		Node:        nodeName(i),
+		NodeAddress: fmt.Sprintf("10.%d.%d.%d:8083", i>>16&255, i>>8&255, i&255),
+		Address:     "127.0.0.1:9000",
+		DataCentre:  fmt.Sprintf("dc-%d", i%10),
+		Labels:      map[string]string{"tier": "standard", "version": "42"},
+		Slots:       64,
+		State:       apiv1.TargetState_TARGET_STATE_READY,
+		Incarnation: 1,
+		Version:     1,
+	}
+}
+
+func nodeName(i int) string {
+	return fmt.Sprintf("host-%05d", i)
+}
--- /dev/null
+++ b/internal/capacity/slope_test.go
@@ -0,0 +1,35 @@
+package capacity
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFitExtrapolates(t *testing.T) {
+	s := Slope{Points: []Point{{10, 25}, {100, 205}, {1000, 2005}}, Target: 6700}
+	fixed, perUnit := s.Fit()
+	require.InDelta(t, 5, fixed, 1e-6)
+	require.InDelta(t, 2, perUnit, 1e-9)
+	require.InDelta(t, 13405, s.AtTarget(), 1e-3)
+	require.InDelta(t, 0, s.Error(), 1e-6)
+
+	s.Points[1].Value = 410
+	require.Greater(t, s.Error(), 0.1)
+}
+
+// Sizes that repeat exactly are held to the budget of a node's control traffic.
+func TestHeartbeatFitsTheBudget(t *testing.T) {
+	const bytesPerSecondBudget = 20_000
+	require.Less(t, heartbeatBytes(followedServices), bytesPerSecondBudget/4.0)
+	grown := heartbeatBytes(100) - heartbeatBytes(10)
+	require.Less(t, grown/90, 40.0, "bytes for each service called")
+}
+
+func TestModelIsAccepted(t *testing.T) {
+	require.Positive(t, snapshotBytes(100))
+	var out strings.Builder
+	Print(&out, []Slope{{Role: "r", Points: []Point{{1, 1}, {2, 2}, {3, 3}}, Target: 4}})
+	require.Contains(t, out.String(), "| r |")
+}
--- a/internal/ratelab/scenario_test.go
+++ b/internal/ratelab/scenario_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/guavaford/guavaford/internal/rate"
 )
 
 // Bounds of the rate scenarios, from their stated targets.
@@ -40,3 +42,14 @@
 	split := MovingDemand(Koperasi, Method{Name: "static split", Split: true})
 	require.Greater(t, split[0].WithinRefusedShare, 0.1)
 }
+
+// 67 nodes stand for the fleet of 6,700 at an owner whose pace is scaled down alike.
+func TestNoRefusalsWithinRateAtFleetSize(t *testing.T) {
+	cfg := rate.Config{}.WithDefaults()
+	cfg.OwnerRequestsPerSecond /= 100
+	row := Fleet(cfg, 67, 10, 66, 7)
+	require.Zero(t, row.Excess)
+	require.Greater(t, row.Demand, 10_000)
+	require.LessOrEqual(t, row.WithinRefusedShare, withinRefusedBound)
+	require.Less(t, row.BytesPerNode, 20_000.0)
+}
