--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -87,6 +87,9 @@
 		Seed:            c.next,
 	})
 	require.NoError(c.t, err)
+	// Small, so that snapshots, their transfer and rewrites come up.
+	replica.engine.sizes = engineSizes{rewriteBytes: 64 << 10, snapshotBytes: 1 << 20, snapshotEntries: 100, keepEntries: 20}
+	replica.engine.rewriteAt = replica.engine.sizes.rewriteBytes
 	listener, err := transport.Listen(name)
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -23,7 +23,11 @@
 	outbox map[uint64][]*apiv1.RaftMessage
 	// beforeSync, if set, is called when messages are in the outbox that may overtake a sync.
 	beforeSync func()
-	sizes      engineSizes
+	// writeSnapshot, if set, writes a snapshot elsewhere and has finishSnapshot called when done.
+	writeSnapshot func(number uint32, s *apiv1.GroupSnapshot)
+	// writing counts the snapshots that are being written elsewhere.
+	writing int
+	sizes   engineSizes
 	// rewriteAt is the size at which the log file is rewritten.
 	rewriteAt int64
 	nextRead  uint64
@@ -81,6 +85,8 @@
 	snapshotBytes   int
 	bytesSince      int
 	appliedByEngine uint64
+	// writing is true while a snapshot of this group is being written elsewhere.
+	writing bool
 }
 
 // opState is the end of a proposal.
@@ -382,7 +388,7 @@
 			}
 		}
 	}
-	if e.log.Size() < e.rewriteAt {
+	if e.log.Size() < e.rewriteAt || e.writing > 0 {
 		return nil
 	}
 	if err := e.log.Rewrite(e.records()); err != nil {
@@ -394,13 +400,16 @@
 
 // snapshotDue balances the work of a snapshot against the log that it makes unnecessary.
 func (e *engine) snapshotDue(g *group) bool {
+	if g.writing {
+		return false
+	}
 	if g.bytesSince >= max(e.sizes.snapshotBytes, g.snapshotBytes) {
 		return true
 	}
 	return g.appliedByEngine >= g.snapshotIndex+e.sizes.snapshotEntries && g.snapshotBytes <= e.sizes.snapshotBytes
 }
 
-// snapshot writes the applied state of a group and drops the log before it.
+// snapshot writes the applied state of a group.
 func (e *engine) snapshot(number uint32, g *group) error {
 	data, err := g.machine.Snapshot()
 	if err != nil {
@@ -408,9 +417,31 @@
 	}
 	s := g.core.SnapshotAt()
 	s.Data = data
+	if e.writeSnapshot != nil {
+		g.writing = true
+		e.writing++
+		e.writeSnapshot(number, s)
+		return nil
+	}
 	if err := e.log.SaveSnapshot(number, s); err != nil {
 		return err
 	}
+	return e.adoptSnapshot(number, s)
+}
+
+// finishSnapshot takes over a snapshot that was written elsewhere.
+func (e *engine) finishSnapshot(number uint32, s *apiv1.GroupSnapshot) error {
+	e.groups[number].writing = false
+	e.writing--
+	if s.Index <= e.groups[number].snapshotIndex {
+		return nil // one from the leader came first
+	}
+	return e.adoptSnapshot(number, s)
+}
+
+// adoptSnapshot makes a durable snapshot count and drops the log before it.
+func (e *engine) adoptSnapshot(number uint32, s *apiv1.GroupSnapshot) error {
+	g := e.groups[number]
 	record := &apiv1.WalRecord{Group: number, SnapshotIndex: s.Index, SnapshotTerm: s.Term}
 	if err := e.log.Append([]*apiv1.WalRecord{record}); err != nil {
 		return err
--- a/internal/control/failure_test.go
+++ b/internal/control/failure_test.go
@@ -145,6 +145,10 @@
 		took := c.eventually(5*time.Second, func() bool { return c.revision(follower) == revision })
 		t.Logf("catch-up after 500 changes %v", took)
 		require.LessOrEqual(t, took, inForceBound)
+		engine := c.hosts[follower].replica.engine
+		require.Positive(t, engine.metrics.installed, "it came by a snapshot")
+		require.Positive(t, engine.metrics.snapshots+c.hosts[c.leader()].replica.engine.metrics.snapshots)
+		require.Positive(t, c.hosts[c.leader()].replica.log.Metrics().Rewrites)
 		old := c.leader()
 		c.crash(old)
 		c.start(old)
--- a/internal/control/invariants_test.go
+++ b/internal/control/invariants_test.go
@@ -94,3 +94,13 @@
 		require.Len(w.t, held, int(h.replica.store.Head().Load().Revision), "each revision is one change")
 	}
 }
+
+func TestNoChangeIsAcceptedBeforeAMajorityOfTheFounders(t *testing.T) {
+	w := newWorld(t, 1, 3, faultSet{})
+	founder := w.hosts[0].replica
+	founder.o.InitialReplicas = []string{hostName(0), hostName(1), hostName(2)}
+	founder.publish()
+	require.Contains(t, founder.tooFewFounders(), "1 of 3 initial replicas vote")
+	w.until(10*time.Second, w.whole, "all hosts are voters")
+	require.Empty(t, founder.tooFewFounders())
+}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -99,6 +100,9 @@
 	if outcome := r.store.Recorded(change); outcome != nil {
 		return &apiv1.ProposeResponse{Outcome: outcome}
 	}
+	if few := r.tooFewFounders(); few != "" {
+		return proposeResult(apiv1.ChangeResult_CHANGE_RESULT_UNAVAILABLE, few)
+	}
 	for range maxValidations {
 		reply, state := r.submitStore(ctx, r.store.Validate(change))
 		switch {
@@ -113,6 +117,23 @@
 	return proposeResult(apiv1.ChangeResult_CHANGE_RESULT_UNAVAILABLE)
 }
 
+// tooFewFounders says why no change is accepted yet while the cluster is being founded: the
+// replica that begins is a quorum by itself until a majority of the initial replicas vote. It returns ""
+// once they do.
+func (r *Replica) tooFewFounders() string {
+	voters := 0
+	for _, member := range r.view.Load().members {
+		if !member.Learner {
+			voters++
+		}
+	}
+	initial := len(r.o.InitialReplicas)
+	if voters > initial/2 {
+		return ""
+	}
+	return fmt.Sprintf("%d of %d initial replicas vote; a majority must, or the list in the settings must change", voters, initial)
+}
+
 // submitStore passes a command of the configuration group through the log.
 func (r *Replica) submitStore(ctx context.Context, command *apiv1.StoreCommand) (*apiv1.StoreReply, opState) {
 	data, err := proto.Marshal(command)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -94,6 +94,8 @@
 	tickInterval      = 20 * time.Millisecond
 	dutyInterval      = 200 * time.Millisecond
 	eventBuffer       = 4096
+	// defaultRunShardBytes bounds a shard, and with it the largest snapshot.
+	defaultRunShardBytes = 64 << 20
 	// MaxReplicas bounds the replicas of a cluster.
 	MaxReplicas = 7
 )
@@ -174,6 +176,7 @@
 		known:     map[uint64]knownReplica{},
 	}
 	r.engine.beforeSync = r.flush
+	r.engine.writeSnapshot = r.writeSnapshot
 	r.confirmer = newConfirmer(r)
 	r.ownership = newOwnership(r)
 	r.owner = rate.NewOwner(r.ownership, newLimits(r.store), o.Clock, o.Rate)
@@ -216,6 +219,9 @@
 		o.Relay = registry.NewRelay(registry.RelayOptions{Node: o.Identity.Node, Incarnation: o.Identity.Incarnation})
 	}
 	o.Rate.OwnerLease = ownershipLease
+	if o.RunRecords.MaxBytes == 0 {
+		o.RunRecords.MaxBytes = defaultRunShardBytes
+	}
 	return o
 }
 
@@ -319,6 +325,21 @@
 	}
 }
 
+// writeSnapshot writes a snapshot beside the loop, which must not wait for a large file.
+func (r *Replica) writeSnapshot(number uint32, s *apiv1.GroupSnapshot) {
+	r.start(func() {
+		err := r.log.WriteSnapshot(number, s)
+		r.post(func(time.Time) {
+			if err == nil {
+				err = r.engine.finishSnapshot(number, s)
+			}
+			if err != nil {
+				r.fail(errors.Wrap(err, "snapshot"))
+			}
+		})
+	})
+}
+
 // drain executes the events that have queued up, so that one sync covers them.
 func (r *Replica) drain() {
 	for range eventBuffer {
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -115,6 +115,7 @@
 	// Small, so that snapshots, their transfer and rewrites come up all the time.
 	r.engine.sizes = engineSizes{rewriteBytes: 4 << 10, snapshotBytes: 1 << 20, snapshotEntries: 7, keepEntries: 3}
 	r.engine.rewriteAt = r.engine.sizes.rewriteBytes
+	r.engine.writeSnapshot = nil // in step
 	r.engine.beforeSync = func() { w.post(h) }
 	w.ids[r.log.Identity().Replica] = h.index
 }
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,173 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+func apply(t *testing.T, s *Store, command *apiv1.StoreCommand) *apiv1.StoreReply {
+	data, err := proto.Marshal(command)
+	require.NoError(t, err)
+	reply := &apiv1.StoreReply{}
+	require.NoError(t, proto.Unmarshal(s.Apply(1, data), reply))
+	return reply
+}
+
+func submit(t *testing.T, s *Store, change *apiv1.Change) *apiv1.ChangeOutcome {
+	return apply(t, s, s.Validate(change)).Outcome
+}
+
+func upsert(id string, names ...string) *apiv1.Change {
+	change := &apiv1.Change{Id: id, AnyRevision: true}
+	for _, name := range names {
+		change.Upserts = append(change.Upserts, &apiv1.Resource{Kind: organisationKind, Name: name, Spec: []byte("{}")})
+	}
+	return change
+}
+
+func issue(id, organisation string, n int) *apiv1.Change {
+	change := &apiv1.Change{Id: id, AnyRevision: true}
+	for range n {
+		change.IssueKeys = append(change.IssueKeys, &apiv1.KeyRecord{Organisation: organisation, Hash: []byte("hash")})
+	}
+	return change
+}
+
+func TestChangeTakesEffectWhollyOrNotAtAll(t *testing.T) {
+	s := New(func(resources []*apiv1.Resource) []string {
+		if len(resources) > 2 {
+			return []string{"too many"}
+		}
+		return nil
+	})
+	require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, submit(t, s, upsert("a", "one", "two")).Result)
+	refused := submit(t, s, upsert("b", "one", "three"))
+	require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_INVALID, refused.Result)
+	require.Equal(t, []string{"too many"}, refused.Problems)
+	require.Len(t, s.ConfigSnapshot().Resources, 2)
+	require.Equal(t, uint64(1), s.ConfigSnapshot().Resources[0].Revision)
+	require.Equal(t, refused.Problems, submit(t, s, upsert("b", "one", "three")).Problems, "refusals are recorded too")
+}
+
+func TestVerdictOfAnOvertakenValidationIsNotUsed(t *testing.T) {
+	s := New(nil)
+	early := s.Validate(upsert("a", "one"))
+	submit(t, s, upsert("b", "two"))
+	require.True(t, apply(t, s, early).StaleValidation)
+	require.Equal(t, uint64(2), submit(t, s, upsert("a", "one")).Revision)
+	expected := upsert("c", "three")
+	expected.AnyRevision, expected.ExpectedRevision = false, 1
+	conflict := submit(t, s, expected)
+	require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_CONFLICT, conflict.Result)
+	require.Equal(t, uint64(2), conflict.Revision)
+}
+
+func TestKeysGetSequentialNumbersAndAreWithdrawn(t *testing.T) {
+	s := New(nil)
+	require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_INVALID, submit(t, s, issue("early", "one", 1)).Result)
+	submit(t, s, upsert("a", "one"))
+	require.Equal(t, []uint64{1, 2, 3}, submit(t, s, issue("k", "one", 3)).KeyNumbers)
+	require.Equal(t, []uint64{1, 2, 3}, submit(t, s, issue("k", "one", 3)).KeyNumbers, "a resend issues nothing")
+	require.Equal(t, []uint64{4}, submit(t, s, issue("l", "one", 1)).KeyNumbers)
+	withdraw := &apiv1.Change{Id: "w", AnyRevision: true, WithdrawKeys: []uint64{2}}
+	submit(t, s, withdraw)
+	news := s.Since(s.ConfigSnapshot().Revision - 1)
+	require.Equal(t, []uint64{2}, news.Deltas[0].Withdrawn)
+	unknown := &apiv1.Change{Id: "x", AnyRevision: true, WithdrawKeys: []uint64{9}}
+	require.Equal(t, []string{"key 9 does not exist"}, submit(t, s, unknown).Problems)
+	remove := &apiv1.Change{Id: "r", AnyRevision: true, Deletes: []*apiv1.ResourceRef{{Kind: organisationKind, Name: "one"}}}
+	require.Equal(t, []string{`organisation "one" still has 3 valid keys`}, submit(t, s, remove).Problems)
+	remove.Id, remove.WithdrawKeys = "r2", []uint64{1, 3, 4}
+	require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, submit(t, s, remove).Result)
+}
+
+// TestNewsLeadEveryNodeToTheSameState follows the store from every earlier revision.
+func TestNewsLeadEveryNodeToTheSameState(t *testing.T) {
+	s := New(nil)
+	states := []map[string]uint64{{}}
+	for i := range 200 {
+		change := upsert(fmt.Sprint(i), fmt.Sprint("org-", i%60))
+		if i%7 == 6 {
+			change.Deletes = append(change.Deletes, &apiv1.ResourceRef{Kind: organisationKind, Name: fmt.Sprint("org-", (i-3)%60)})
+		}
+		submit(t, s, change)
+		states = append(states, held(s.ConfigSnapshot()))
+	}
+	latest := s.ConfigSnapshot()
+	snapshots, deltas := 0, 0
+	for revision := range latest.Revision {
+		news := s.Since(revision)
+		if news.Snapshot != nil {
+			snapshots++
+			require.Equal(t, latest.Revision, news.Snapshot.Revision)
+			continue
+		}
+		deltas++
+		state := states[revision]
+		for i, delta := range news.Deltas {
+			require.Equal(t, revision+uint64(i)+1, delta.Revision)
+			for _, del := range delta.Deletes {
+				delete(state, del.Name)
+			}
+			for _, resource := range delta.Upserts {
+				state[resource.Name] = resource.Revision
+			}
+		}
+		require.Equal(t, held(latest), state)
+	}
+	require.Positive(t, snapshots, "far behind, the snapshot is smaller")
+	require.Positive(t, deltas)
+	require.Empty(t, s.Since(latest.Revision+5).Deltas, "a node that is ahead gets nothing")
+
+	restored := New(nil)
+	data, err := s.Snapshot()
+	require.NoError(t, err)
+	require.NoError(t, restored.Restore(data))
+	again, err := restored.Snapshot()
+	require.NoError(t, err)
+	require.Equal(t, data, again)
+	require.Equal(t, s.liveBytes, restored.liveBytes)
+	require.Equal(t, uint64(1), submit(t, restored, upsert("0", "org-0")).Revision, "outcomes are part of the state")
+}
+
+func held(snapshot *apiv1.ConfigSnapshot) map[string]uint64 {
+	state := map[string]uint64{}
+	for _, resource := range snapshot.Resources {
+		state[resource.Name] = resource.Revision
+	}
+	return state
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	s := New(nil)
+	for i := range maxOutcomes + 10 {
+		submit(t, s, upsert(fmt.Sprint(i), fmt.Sprint("org-", i%5)))
+	}
+	require.Len(t, s.outcomes.byID, maxOutcomes)
+	require.Len(t, s.deltas.deltas, maxDeltas)
+	require.NotNil(t, s.Since(1).Snapshot, "deltas that were dropped are not skipped over")
+}
+
+func TestAssignmentsAreFencedByEpoch(t *testing.T) {
+	s := New(nil)
+	apply(t, s, &apiv1.StoreCommand{Setup: &apiv1.ClusterSetup{RateShards: 2, RunShards: 3}})
+	assign := func(epoch, replica uint64) {
+		apply(t, s, &apiv1.StoreCommand{Assignment: &apiv1.ShardAssignment{
+			Owners: []*apiv1.ShardOwner{{Shard: 1, Epoch: epoch, Replica: replica}, {Shard: 9}},
+		}})
+	}
+	assign(0, 7)
+	assign(0, 8) // made before the first was known
+	owner := s.Head().Load().Owners[1]
+	require.Equal(t, uint64(7), owner.Replica)
+	require.Equal(t, uint64(1), owner.Epoch)
+	assign(1, 8)
+	require.Equal(t, uint64(2), s.Head().Load().Owners[1].Epoch)
+	apply(t, s, &apiv1.StoreCommand{Setup: &apiv1.ClusterSetup{RateShards: 5, RunShards: 5}})
+	require.Len(t, s.Head().Load().Owners, 2, "the numbers of shards are fixed")
+}
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -16,12 +16,18 @@
 	if l.failed != nil {
 		return l.failed
 	}
-	if err := l.writeFile(snapshotName(group, snapshot.Index), snapshot); err != nil {
+	if err := l.WriteSnapshot(group, snapshot); err != nil {
 		return l.fail(err)
 	}
 	return nil
 }
 
+// WriteSnapshot is SaveSnapshot for another goroutine. Rewrite must not run before the record that
+// names the snapshot was appended: it removes files that no record names.
+func (l *Log) WriteSnapshot(group uint32, snapshot *apiv1.GroupSnapshot) error {
+	return l.writeFile(snapshotName(group, snapshot.Index), snapshot)
+}
+
 // LoadSnapshot reads a snapshot file.
 func (l *Log) LoadSnapshot(group uint32, index uint64) (*apiv1.GroupSnapshot, error) {
 	snapshot := &apiv1.GroupSnapshot{}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -25,6 +25,7 @@
 	"io/fs"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -46,7 +47,8 @@
 	emptyLogBytes = 64
 )
 
-// Log is an open data folder. It is not safe for concurrent use.
+// Log is an open data folder. Only WriteSnapshot and Metrics may be called while another
+// method runs.
 type Log struct {
 	fs       vfs.FS
 	dir      string
@@ -58,7 +60,9 @@
 	sequence uint64 // of the last frame
 	size     int64
 	failed   error
-	metrics  Metrics
+	syncs    atomic.Uint64
+	bytes    atomic.Uint64
+	rewrites atomic.Uint64
 }
 
 // Metrics counts the work of a log since it was opened.
@@ -196,8 +200,8 @@
 		_ = file.Close()
 		return nil, errors.Wrap(err, name)
 	}
-	l.metrics.Syncs += 2
-	l.metrics.Bytes += uint64(len(data))
+	l.syncs.Add(2)
+	l.bytes.Add(uint64(len(data)))
 	return file, nil
 }
 
@@ -243,8 +247,8 @@
 	}
 	l.sequence++
 	l.size += int64(len(data))
-	l.metrics.Syncs++
-	l.metrics.Bytes += uint64(len(data))
+	l.syncs.Add(1)
+	l.bytes.Add(uint64(len(data)))
 	return nil
 }
 
@@ -261,7 +265,7 @@
 
 // Metrics returns the counts so far.
 func (l *Log) Metrics() Metrics {
-	return l.metrics
+	return Metrics{Syncs: l.syncs.Load(), Bytes: l.bytes.Load(), Rewrites: l.rewrites.Load()}
 }
 
 // Rewrite replaces the log file by one that holds just the given records, and removes
@@ -273,7 +277,7 @@
 	if err := l.rewrite(records); err != nil {
 		return l.fail(err)
 	}
-	l.metrics.Rewrites++
+	l.rewrites.Add(1)
 	l.removeOld(records)
 	return nil
 }
