Look only at nodes whose liveness has changed

The regular look at all nodes went through every record and every claim to an address four times a second: 4.7 ms at 6,700 nodes, 1.9% of a core.

--- a/internal/registry/relay.go
+++ b/internal/registry/relay.go
@@ -23,6 +23,8 @@
 	// forgetTombstoneAfter is longer: a replica that missed the tombstone has forgotten the
 	// node, and with it the target, before the tombstone is dropped.
 	forgetTombstoneAfter = 2 * forgetAfter
+	// forgetInterval is the time between two looks for what can be forgotten.
+	forgetInterval = 5 * time.Second
 	// livenessInterval is the time between two batches of liveness to the same replica.
 	livenessInterval = time.Second
 	// maxNodes bounds the nodes of the fleet.
@@ -48,7 +50,9 @@
 	mu      sync.Mutex
 	started time.Time
 	warm    bool
-	nodes   map[string]*node
+	// forgotAt is when the relay last looked for what can be forgotten.
+	forgotAt time.Time
+	nodes    map[string]*node
 	// addresses holds the names of the nodes that claim an address.
 	addresses map[string]map[string]struct{}
 	services  map[string]*service
@@ -78,6 +82,10 @@
 	// announced is the version of the set that the relay holds of the node.
 	announced uint64
 	records   map[string]*record
+	// usable is set while the node's targets can be shown, holding while one of them is
+	// held back for flapping.
+	usable  bool
+	holding bool
 }
 
 // record is the last known announcement of one target.
@@ -388,9 +396,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.begin(now)
+	forget := now.Sub(r.forgotAt) >= forgetInterval
+	if forget {
+		r.forgotAt = now
+	}
 	for _, n := range r.nodes {
-		r.show(now, n)
-		r.forget(now, n)
+		r.refresh(now, n)
+		if forget {
+			r.forget(now, n)
+		}
 	}
 }
 
--- a/internal/registry/show.go
+++ b/internal/registry/show.go
@@ -16,7 +16,11 @@
 // ownsAddress reports whether no live node that started later claims the
 // node's address, as happens when a host is replaced under the same IP number.
 func (r *Relay) ownsAddress(now time.Time, n *node) bool {
-	for name := range r.addresses[n.address] {
+	claims := r.addresses[n.address]
+	if len(claims) < 2 {
+		return true
+	}
+	for name := range claims {
 		other := r.nodes[name]
 		if other != n && other.incarnation > n.incarnation && r.alive(now, other) {
 			return false
@@ -25,9 +29,18 @@
 	return true
 }
 
+// refresh is show for a node of which nothing was received: only time has passed.
+func (r *Relay) refresh(now time.Time, n *node) {
+	if n.holding || n.usable != (r.alive(now, n) && r.ownsAddress(now, n)) {
+		r.show(now, n)
+	}
+}
+
 // show brings the shown targets of a node up to date.
 func (r *Relay) show(now time.Time, n *node) {
 	usable := r.alive(now, n) && r.ownsAddress(now, n)
+	n.usable = usable
+	n.holding = false
 	for _, rec := range n.records {
 		r.showRecord(now, n, rec, usable)
 	}
@@ -42,6 +55,7 @@
 		return
 	}
 	if rec.shown == nil && rec.flaps.held(now) && r.hasOther(rec) {
+		n.holding = true
 		return
 	}
 	want := rec.message
