Ask the next operators' address after one second

Cause: a change waited 5 s for a control host that took the connection and stayed silent. Change: attempts of the first round get 1 s, twice that in each further round up to 5 s; a resend under the same id is safe.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -21,9 +21,12 @@
 const (
 	// attemptTimeout is above requestTimeout, so that a server that lives answers first.
 	attemptTimeout = 5 * time.Second
-	dialTimeout    = 2 * time.Second
-	firstBackoff   = 100 * time.Millisecond
-	maxBackoff     = 2 * time.Second
+	// firstAttemptTimeout bounds attempts of the first round; it doubles with each round. A
+	// resend is safe, so that a silent server need not be waited for.
+	firstAttemptTimeout = time.Second
+	dialTimeout         = 2 * time.Second
+	firstBackoff        = 100 * time.Millisecond
+	maxBackoff          = 2 * time.Second
 )
 
 // maxAnswerBytes bounds an answer that the client reads.
@@ -136,7 +139,7 @@
 	last := make([]string, len(c.servers))
 	for round := 0; ; round++ {
 		for range c.servers {
-			result := c.ask(ctx, method, path, encoded, into)
+			result := c.ask(ctx, round, method, path, encoded, into)
 			if result.final && (result.err == nil || !maybeApplied || answersChange(result.err)) {
 				return result.err
 			}
@@ -191,7 +194,9 @@
 }
 
 // ask sends the request to one server.
-func (c *Client) ask(ctx context.Context, method, path string, body []byte, into any) attempt {
+func (c *Client) ask(ctx context.Context, round int, method, path string, body []byte, into any) attempt {
+	ctx, cancel := context.WithTimeout(ctx, min(firstAttemptTimeout<<min(round, 10), attemptTimeout))
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, c.servers[c.next]+path, bytes.NewReader(body))
 	if err != nil {
 		return attempt{final: true, err: err}
