Leave room for chance in small queues, and for the service time of queued work

Cause: with 15 slots a queue of 9 refused by chance at 90% load, and queued requests were started with so little time left that they timed out half-way. Change: the queue holds at least 2+4*sqrt(limit); the queue is steered to at least sqrt(limit); a queued request needs the mean service time before its deadline, not the low quantile.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -120,7 +120,7 @@
 		return refuse(outcome.Overloaded, c.retryAfter(now), "the target sheds requests of this level")
 	}
 	wait := c.drainTime(now, c.queue.ahead(w.Priority)+1)
-	if !w.Deadline.IsZero() && now.Add(wait+c.floor).After(w.Deadline) {
+	if !w.Deadline.IsZero() && now.Add(wait+c.hold.at(now)).After(w.Deadline) {
 		c.shedder.refused++
 		return refuse(outcome.DeadlineTooShort, c.retryAfter(now), "the queue is longer than the time left")
 	}
@@ -146,7 +146,7 @@
 	if w.Deadline.IsZero() {
 		return at
 	}
-	if latest := w.Deadline.Add(-c.floor); latest.Before(at) {
+	if latest := w.Deadline.Add(-c.hold.at(now)); latest.Before(at) {
 		return latest
 	}
 	return at
@@ -256,7 +256,7 @@
 		if w == nil {
 			return
 		}
-		if c.tooLate(now, &w.Request) {
+		if !w.Deadline.IsZero() && now.Add(c.hold.at(now)).After(w.Deadline) {
 			c.shedder.refused++
 			c.decide(w, refuse(outcome.DeadlineTooShort, c.retryAfter(now), "queued until less time is left than the service takes"))
 			continue
@@ -308,7 +308,7 @@
 // than the chance fluctuation of as many requests as the limit.
 func (c *Core) queueCap(now time.Time) int {
 	limit := float64(c.limit(now))
-	fluctuation := 2 + 2*math.Sqrt(limit)
+	fluctuation := 2 + 4*math.Sqrt(limit)
 	hold := c.hold.at(now)
 	if hold <= 0 {
 		return int(max(limit, fluctuation))
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// shedWindow is the shortest time between two changes of the cutoffs.
@@ -21,8 +24,9 @@
 	shedDemandDecay = 0.9
 	// shedCapacitySeconds is the time constant of the smoothed capacity.
 	shedCapacitySeconds = 1.0
-	// shedQueue is the queue length to steer to, as a share of its bound, and shedGain the
-	// correction of the admitted demand for a deviation of the whole bound.
+	// shedQueue is the queue length to steer to, as a share of its bound; it is no less than
+	// the root of the limit. shedGain is the correction of the admitted demand for a
+	// deviation of the whole bound.
 	shedQueue = 0.2
 	shedGain  = 0.3
 	// shedProbeMax bounds the growth of the capacity in a window in which slots stayed idle.
@@ -205,8 +209,9 @@
 	if !overloaded && s.target == 0 {
 		return
 	}
-	fill := float64(use.queued) / float64(max(use.queueCap, 1))
-	s.target = max(s.capacity*(1+shedGain*(shedQueue-fill)), 1)
+	bound := float64(max(use.queueCap, 1))
+	reference := max(shedQueue*bound, math.Sqrt(float64(use.limit)))
+	s.target = max(s.capacity*(1+shedGain*(reference-float64(use.queued))/bound), 1)
 }
 
 // total returns the demand of a class over all organisations.
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -69,7 +69,7 @@
 			{Route: "transcript", Services: []string{"transkrip", "jadual"}, Bottleneck: "transkrip", Priority: 2, Rate: 600},
 		},
 		Tenants: tenants(),
-		Timeout: time.Second,
+		Timeout: 2 * time.Second,
 		Deep:    "premis",
 	}
 }
