--- a/internal/lab/cmd/measures/main.go
+++ b/internal/lab/cmd/measures/main.go
@@ -14,6 +14,7 @@
 	product := flag.Bool("product", false, "leave the baselines out")
 	reasons := flag.Bool("reasons", false, "print why requests failed")
 	variants := flag.Bool("variants", false, "compare variants of single decisions")
+	only := flag.String("only", "", "prefix of the scenarios to run")
 	flag.Parse()
 	length, policies := lab.Full(), lab.Policies()
 	if *short {
@@ -26,7 +27,7 @@
 		policies = policies[:1]
 	}
 	for _, d := range []func() *lab.Deployment{lab.Koperasi, lab.Verband} {
-		results := lab.Table(d, length, policies)
+		results := lab.Table(d, length, policies, *only)
 		fmt.Printf("\n## %s\n\n", d().Name)
 		lab.Write(os.Stdout, results)
 		if *reasons {
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,9 +16,20 @@
 // parallel is the number of runs at a time; each run is sequential.
 const parallel = 3
 
-// Table runs all scenarios of a deployment under the given policies.
-func Table(d func() *Deployment, l Length, policies []Policy) []Result {
-	scenarios := len(Scenarios(l))
+// Select returns the scenarios whose name begins with a prefix.
+func Select(l Length, prefix string) []*Scenario {
+	var selected []*Scenario
+	for _, s := range Scenarios(l) {
+		if strings.HasPrefix(s.Name, prefix) {
+			selected = append(selected, s)
+		}
+	}
+	return selected
+}
+
+// Table runs the scenarios of a deployment whose name begins with only, under the policies.
+func Table(d func() *Deployment, l Length, policies []Policy, only string) []Result {
+	scenarios := len(Select(l, only))
 	results := make([]Result, scenarios*len(policies))
 	slots := make(chan struct{}, parallel)
 	var all sync.WaitGroup
@@ -25,7 +37,7 @@
 		for j, p := range policies {
 			slots <- struct{}{}
 			all.Go(func() {
-				results[i*len(policies)+j] = Measure(d(), Scenarios(l)[i], p, seed)
+				results[i*len(policies)+j] = Measure(d(), Select(l, only)[i], p, seed)
 				<-slots
 			})
 		}
