Steer to a shorter queue

Cause: with the queue steered to a fifth of its bound, chance filled it and refused requests for which services above had worked. Change: the reference is a tenth of the bound, at least half the root of the limit.

--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -27,7 +27,7 @@
 	// shedQueue is the queue length to steer to, as a share of its bound; it is no less than
 	// the root of the limit. shedGain is the correction of the admitted demand for a
 	// deviation of the whole bound.
-	shedQueue = 0.2
+	shedQueue = 0.1
 	shedGain  = 0.3
 	// shedProbeMax bounds the growth of the capacity in a window in which slots stayed idle.
 	shedProbeMax = 1.5
@@ -210,7 +210,7 @@
 		return
 	}
 	bound := float64(max(use.queueCap, 1))
-	reference := max(shedQueue*bound, math.Sqrt(float64(use.limit)))
+	reference := max(shedQueue*bound, math.Sqrt(float64(use.limit))/2)
 	s.target = max(s.capacity*(1+shedGain*(reference-float64(use.queued))/bound), 1)
 }
 
