Correct the admitted demand by an integral term, and mend the capacity estimate

Cause: traced in the lab, queues of shedding targets stood near their bound although the target rate was below capacity: callers admit somewhat more than the cutoff says, and a window that ended with a finished request saw one slot too few in use, took the target for idle and raised its capacity (290/s instead of 250/s with 15 slots). Change: a window ends before the slot is freed; a lasting trim corrects the target; the queue is sized to drain in 200 ms and steered to a quarter of that; a request queues for 400 ms at most.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -10,9 +10,9 @@
 
 const (
 	// MaxQueueTime is the time for which a request may queue.
-	MaxQueueTime = 250 * time.Millisecond
+	MaxQueueTime = 400 * time.Millisecond
 	// queueDrainTime is the time in which a full queue drains.
-	queueDrainTime = 100 * time.Millisecond
+	queueDrainTime = 200 * time.Millisecond
 	// defaultSlots bounds the limit of a target that announces no slots.
 	defaultSlots = 256
 	// coldShare is the share of the limit that a cold target takes at its start.
@@ -170,9 +170,9 @@
 // Finish frees the slot of a request that started at started.
 func (c *Core) Finish(now, started time.Time, res Result) {
 	c.observe(now, now.Sub(started), res)
-	c.inFlight--
 	c.shedder.finished++
 	c.roll(now)
+	c.inFlight--
 	c.dispatch(now)
 }
 
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -27,8 +27,12 @@
 	// shedQueue is the queue length to steer to, as a share of its bound; it is no less than
 	// the root of the limit. shedGain is the correction of the admitted demand for a
 	// deviation of the whole bound.
-	shedQueue = 0.1
+	shedQueue = 0.25
 	shedGain  = 0.3
+	// shedTrimGain is the part of a deviation that each window adds to a lasting correction,
+	// for demand that callers admit beyond the cutoff. shedTrimMax bounds it.
+	shedTrimGain = 0.05
+	shedTrimMax  = 0.3
 	// shedProbeMax bounds the growth of the capacity in a window in which slots stayed idle.
 	shedProbeMax = 1.5
 	// shedIdle is the use of the slots under which the capacity counts as not reached.
@@ -50,6 +54,8 @@
 	finished int
 	// capacity is the smoothed number of finished requests a second while busy.
 	capacity float64
+	// trim is the lasting correction of the target, as a share of the capacity.
+	trim float64
 	// target is the number of requests a second to admit; 0 while nothing is shed.
 	target   float64
 	marginal int
@@ -210,8 +216,10 @@
 		return
 	}
 	bound := float64(max(use.queueCap, 1))
-	reference := max(shedQueue*bound, math.Sqrt(float64(use.limit))/2)
-	s.target = max(s.capacity*(1+shedGain*(reference-float64(use.queued))/bound), 1)
+	reference := max(shedQueue*bound, math.Sqrt(float64(use.limit)))
+	deviation := (reference - float64(use.queued)) / bound
+	s.trim = min(max(s.trim+shedTrimGain*deviation, -shedTrimMax), shedTrimMax)
+	s.target = max(s.capacity*(1+shedGain*deviation+s.trim), 1)
 }
 
 // total returns the demand of a class over all organisations.
@@ -242,7 +250,7 @@
 		s.share(MaxPriority, s.total(MaxPriority))
 		return
 	}
-	s.target = 0
+	s.target, s.trim = 0, 0
 	for _, d := range s.demands {
 		d.cutoff, d.fraction = 0, 1
 	}
