Count the retry budget over ten seconds

Cause: after a crash of a target at 80% load the nodes next to it had more work in flight than the 10 extra attempts that a budget could save up. Change: first and extra attempts decay with a time constant of 10 s; extra attempts stay within 10% of the first ones plus 10.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -9,56 +10,60 @@
 const (
 	// DefaultBudgetRatio is the share of extra attempts in recent first attempts.
 	DefaultBudgetRatio = 0.1
-	// DefaultBudgetBurst bounds the extra attempts that can be saved up.
+	// DefaultBudgetBurst is the number of extra attempts that a service may always make in
+	// a short time.
 	DefaultBudgetBurst = 10.0
-	// budgetTricklePerSecond lets a service with few calls retry at all.
-	budgetTricklePerSecond = 0.5
+	// budgetMemory is the time constant in which attempts are forgotten.
+	budgetMemory = 10 * time.Second
 )
 
-// Budget limits the extra attempts of one service at one node to a ratio of its recent
-// first attempts. Saved attempts are capped, so only the first attempts of the recent past
-// count. It is safe for concurrent use.
+// Budget limits the extra attempts of one service at one node to a ratio of its first
+// attempts. Both are counted with exponential decay, so that only the recent past counts and
+// a node with much traffic can repeat what a crashed target had in flight. It is safe for
+// concurrent use.
 type Budget struct {
+	ratio float64
+	burst float64
+
 	mu      sync.Mutex
-	ratio   float64
-	burst   float64
-	balance float64
+	first   float64
+	extra   float64
 	updated time.Time
 }
 
-// NewBudget returns a full budget. ratio is extra attempts for each first attempt; burst is
-// the most that can be saved up.
+// NewBudget returns a budget of ratio extra attempts for each first attempt, and burst more.
 func NewBudget(ratio, burst float64) *Budget {
-	return &Budget{ratio: ratio, burst: burst, balance: burst}
+	return &Budget{ratio: ratio, burst: burst}
 }
 
 // First counts a first attempt.
 func (b *Budget) First(now time.Time) {
 	b.mu.Lock()
-	b.add(now, b.ratio)
+	b.decay(now)
+	b.first++
 	b.mu.Unlock()
 }
 
-// Allow spends one extra attempt. It returns false when the budget is used up.
+// Allow counts an extra attempt and returns true, or returns false when the budget is used up.
 func (b *Budget) Allow(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.add(now, 0)
-	if b.balance < 1 {
+	b.decay(now)
+	if b.extra+1 > b.ratio*b.first+b.burst {
 		return false
 	}
-	b.balance--
+	b.extra++
 	return true
 }
 
-// add credits the trickle since the last event and an amount, up to the burst.
-func (b *Budget) add(now time.Time, amount float64) {
-	if b.updated.IsZero() {
-		b.updated = now
-	}
-	if elapsed := now.Sub(b.updated); elapsed > 0 {
-		amount += elapsed.Seconds() * budgetTricklePerSecond
-		b.updated = now
+// decay forgets attempts since the last event.
+func (b *Budget) decay(now time.Time) {
+	elapsed := now.Sub(b.updated)
+	if elapsed <= 0 {
+		return
 	}
-	b.balance = min(b.balance+amount, b.burst)
+	keep := math.Exp(-elapsed.Seconds() / budgetMemory.Seconds())
+	b.first *= keep
+	b.extra *= keep
+	b.updated = now
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -49,7 +49,7 @@
 }
 
 func TestBudgetBoundsExtraAttempts(t *testing.T) {
-	now := time.Unix(0, 0)
+	now := time.Unix(1, 0)
 	b := NewBudget(DefaultBudgetRatio, DefaultBudgetBurst)
 	extra := 0
 	for range 1000 {
