--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -159,20 +159,6 @@
 	}
 }
 
-// placement returns the placement of seven replicas with the rate shards of a new cluster.
-func placement() *apiv1.Placement {
-	p := &apiv1.Placement{Revision: 1_000_000, RateShards: 32, RunShards: 7}
-	for i := range targetControlHosts {
-		p.Replicas = append(p.Replicas, &apiv1.ReplicaInfo{
-			Id: uint64(i+1) << 40, Node: nodeName(i), Address: "10.1.2.3:8083", DataCentre: "dc-1",
-		})
-	}
-	for i := range p.RateShards {
-		p.RateOwners = append(p.RateOwners, &apiv1.ShardOwner{Shard: i, Replica: 1 << 40, Address: "10.1.2.3:8083", Epoch: 3})
-	}
-	return p
-}
-
 // relayOf returns a warm relay that heard n nodes with one target each.
 func relayOf(n, services int) *registry.Relay {
 	relay := registry.NewRelay(registry.RelayOptions{Node: "control-1", Incarnation: 1, WarmUp: time.Millisecond})
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -192,11 +192,12 @@
 func heartbeatBytes(services int) float64 {
 	relay := relayOf(services*9, services)
 	req := heartbeat(1)
+	req.PlacementVersion = 1 << 40
 	for i := range services {
 		req.Services = append(req.Services, &apiv1.ServiceVersion{Service: fmt.Sprintf("service-%04d", i), Version: 1})
 	}
 	req.RegistrySource = relay.Source()
-	resp := &apiv1.SyncResponse{Vouched: true, VouchedRevision: 1_000_000, Placement: placement()}
+	resp := &apiv1.SyncResponse{Vouched: true, VouchedRevision: 1_000_000}
 	relay.Fill(req, resp)
 	for i, update := range resp.Services {
 		req.Services[i].Version = update.Version
--- a/internal/rate/lessee_test.go
+++ b/internal/rate/lessee_test.go
@@ -81,3 +81,23 @@
 		}
 	})
 }
+
+// BenchmarkRequests measures one look for due requests, by the number of active organisations.
+func BenchmarkRequests(b *testing.B) {
+	for _, organisations := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			l := NewLessee(Config{}, Identity{Node: "n"}, 32, clock.System{})
+			now := time.Now()
+			for i := range organisations {
+				l.TryTake(now, fmt.Sprintf("organisation-%d", i))
+			}
+			l.Requests(now)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(time.Millisecond)
+				l.Requests(now)
+			}
+		})
+	}
+}
