Look only at the shards whose leases changed

Cause: each look for due requests reviewed all active organisations, at every wait for a token and every answer: 59 µs at 1,000 of them, 0.7 % of a core at 116 looks a second. Change: a shard is reviewed when an account of it changed, or after 50 ms while tokens are held in it, else after 300 ms. Conclusion: the bookkeeping no longer grows with the organisations seen.

--- a/internal/rate/lessee.go
+++ b/internal/rate/lessee.go
@@ -52,7 +52,7 @@
 	}
 	l := c.account.lessee
 	c.account.refund(c, l.since(l.clock.Now()))
-	l.unpark(c.account)
+	l.changed(c.account)
 }
 
 // Outgoing is a lease request that is due, with what is needed to use its answer.
@@ -68,6 +68,10 @@
 	open uint64
 	sent int64
 	gap  int64
+	// dirty is set when an account of the shard changed other than by spending.
+	dirty atomic.Bool
+	// lookAt is when the accounts are reviewed again if none changed.
+	lookAt int64
 }
 
 // Lessee is the node's side: it holds leases and spends them. TryTake may be called from any
@@ -154,7 +158,7 @@
 // known that no token can come in time. It follows a TryTake that failed.
 func (l *Lessee) Enqueue(now time.Time, organisation string, deadline time.Time) (*Ticket, *outcome.Refusal) {
 	a := l.account(organisation)
-	defer l.unpark(a)
+	defer l.changed(a)
 	at := l.since(now)
 	limit := min(l.since(deadline), at+int64(l.cfg.MaxWait))
 	a.mu.Lock()
@@ -223,16 +227,24 @@
 // shardRequest builds the request to one owner if it is due.
 func (l *Lessee) shardRequest(now int64, shard uint32) (*apiv1.LeaseRequest, int64) {
 	x := &l.shards[shard]
-	when := l.dueAt(now, shard)
+	if !x.dirty.Swap(false) && now < x.lookAt {
+		return nil, x.lookAt
+	}
+	when, holding := l.dueAt(now, shard)
+	x.lookAt = now + int64(l.cfg.IdleInterval)
+	if holding {
+		x.lookAt = now + int64(l.cfg.Interval)/2
+	}
 	if when == math.MaxInt64 {
-		return nil, when
+		return nil, x.lookAt
 	}
 	earliest := max(when, x.sent+max(x.gap, int64(l.cfg.MinGap)))
 	if x.open != 0 {
 		earliest = max(earliest, x.sent+int64(l.cfg.RequestTimeout))
 	}
 	if now < earliest {
-		return nil, earliest
+		x.lookAt = min(x.lookAt, earliest)
+		return nil, x.lookAt
 	}
 	x.sequence++
 	x.open = x.sequence
@@ -244,12 +256,14 @@
 		Shard:       shard,
 	}
 	req.Demands = l.demands(now, shard)
-	return req, now + int64(l.cfg.RequestTimeout)
+	x.lookAt = min(x.lookAt, now+int64(l.cfg.RequestTimeout))
+	return req, x.lookAt
 }
 
-// dueAt reviews the accounts of a shard and returns when its next request is due.
-func (l *Lessee) dueAt(now int64, shard uint32) int64 {
-	due := int64(math.MaxInt64)
+// dueAt reviews the accounts of a shard and returns when its next request is due, and
+// whether the node holds tokens, so that spending can change that.
+func (l *Lessee) dueAt(now int64, shard uint32) (due int64, holding bool) {
+	due = math.MaxInt64
 	sent := l.shards[shard].sent
 	for _, a := range l.byShard[shard] {
 		a.mu.Lock()
@@ -258,6 +272,7 @@
 			due = min(due, a.askAt)
 		}
 		reportWithin := a.reportWithin
+		holding = holding || a.tokens(now) > 0
 		a.mu.Unlock()
 		switch {
 		case n.short:
@@ -270,7 +285,7 @@
 			due = min(due, sent+int64(l.cfg.IdleInterval))
 		}
 	}
-	return due
+	return due, holding
 }
 
 // demands collects what the accounts of a shard have to tell.
@@ -303,6 +318,7 @@
 			l.account(d.GetOrganisation()).accept(l.since(now), l.since(out.SentAt), resp, d, g)
 		}
 	}
+	l.shards[out.Request.GetShard()].dirty.Store(true)
 }
 
 // pace sets the least time to the next request to the same owner.
@@ -320,6 +336,7 @@
 	if x.open == out.Request.GetSequence() {
 		x.open = 0
 	}
+	x.dirty.Store(true)
 }
 
 // Park takes accounts without requests off the list that Requests goes through. Their lease
@@ -341,6 +358,12 @@
 	}
 }
 
+// changed makes the next Requests review the account's shard.
+func (l *Lessee) changed(a *account) {
+	l.unpark(a)
+	l.shards[a.shard].dirty.Store(true)
+}
+
 // unpark puts an account back on the list that Requests goes through.
 func (l *Lessee) unpark(a *account) {
 	if !a.parked.Load() {
