List keys apart from the documents

Cause: every command that looked at the documents also received all keys: 90 bytes for each, 90 MB at a million keys, for a label. Change: GET /v1/keys, with a parameter for one organisation; /v1/configuration returns documents only. Shown by: go test ./internal/cli ./internal/operator passes.

--- a/internal/cli/describe.go
+++ b/internal/cli/describe.go
@@ -49,6 +49,9 @@
 			all := make([]description, 0, len(documents))
 			for _, d := range documents {
 				one, err := describe(snapshot, configuration, targets, d)
+				if err == nil && d.Kind == config.KindOrganisation {
+					one.Keys, err = keysOf(ctx, client, d.Name)
+				}
 				if err != nil {
 					return err
 				}
@@ -59,6 +62,15 @@
 	}
 }
 
+// keysOf returns the keys of an organisation.
+func keysOf(ctx context.Context, client *operator.Client, organisation string) ([]operator.Key, error) {
+	list, err := client.Keys(ctx, organisation)
+	if err != nil {
+		return nil, err
+	}
+	return list.Keys, nil
+}
+
 // announcedTargets returns the targets that control knows, or none with a warning.
 func announcedTargets(ctx context.Context, c *cli.Command, client *operator.Client) ([]operator.TargetStatus, error) {
 	status, err := client.Status(ctx)
@@ -85,11 +97,6 @@
 		for _, rate := range ratesOf(configuration, d) {
 			add(config.KindRate, rate)
 		}
-		for _, k := range configuration.Keys {
-			if k.Organisation == d.Name {
-				described.Keys = append(described.Keys, k)
-			}
-		}
 	case *config.RateSpec:
 		for _, o := range selectDocuments(configuration, config.KindOrganisation, spec.Selector.Labels()) {
 			add(o.Kind, o.Name)
--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -151,8 +151,8 @@
 	return found
 }
 
-// keysOf returns the keys of a map in order.
-func keysOf[V any](m map[string]V) []string {
+// sortedNames returns the keys of a map in order.
+func sortedNames[V any](m map[string]V) []string {
 	keys := []string{}
 	for key := range m {
 		keys = append(keys, key)
@@ -185,7 +185,7 @@
 		index := slices.IndexFunc(problems, func(p config.Problem) bool { return p.Field == "spec.nothing" })
 		require.GreaterOrEqual(t, index, 0)
 		_, allowed, _ := strings.Cut(problems[index].Message, "allowed: ")
-		require.Equal(t, strings.Split(allowed, ", "), keysOf(rows(section(t, page, "### "+kind))), kind)
+		require.Equal(t, strings.Split(allowed, ", "), sortedNames(rows(section(t, page, "### "+kind))), kind)
 	}
 }
 
@@ -213,7 +213,7 @@
 		}
 	}
 	slices.Sort(names)
-	require.Equal(t, names, keysOf(rows(section(t, readPage(t, operatorsPage), "## Metrics"))))
+	require.Equal(t, names, sortedNames(rows(section(t, readPage(t, operatorsPage), "## Metrics"))))
 }
 
 // runningMetrics starts a node and reads its metrics as an operator does.
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -56,12 +56,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if !configuration.Confirmed {
-		_, _ = fmt.Fprintf(c.Root().ErrWriter, "warning: no quorum confirms revision %d; there may be a newer one\n", configuration.Revision)
-	}
+	warnUnconfirmed(c, configuration.Revision, configuration.Confirmed)
 	return configuration, nil
 }
 
+// warnUnconfirmed says on standard error that a listing may be out of date.
+func warnUnconfirmed(c *cli.Command, revision uint64, confirmed bool) {
+	if !confirmed {
+		_, _ = fmt.Fprintf(c.Root().ErrWriter, "warning: no quorum confirms revision %d; there may be a newer one\n", revision)
+	}
+}
+
 // chosenDocuments returns the documents that arguments and selector name.
 func chosenDocuments(c *cli.Command, configuration *operator.Configuration) ([]operator.Document, error) {
 	selector, err := parseSelector(c.String(flagSelector))
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -178,17 +178,18 @@
 	if organisation == "" {
 		return numbers, nil
 	}
-	configuration, err := currentConfiguration(ctx, c, client)
+	list, err := client.Keys(ctx, organisation)
 	if err != nil {
 		return nil, err
 	}
-	for _, k := range configuration.Keys {
-		if k.Organisation == organisation && !k.Withdrawn {
+	warnUnconfirmed(c, list.Revision, list.Confirmed)
+	for _, k := range list.Keys {
+		if !k.Withdrawn {
 			numbers = append(numbers, k.Number)
 		}
 	}
 	if len(numbers) == 0 {
-		return nil, notFoundError("%s has no valid key at revision %d", organisation, configuration.Revision)
+		return nil, notFoundError("%s has no valid key at revision %d", organisation, list.Revision)
 	}
 	return numbers, nil
 }
@@ -200,17 +201,12 @@
 		Usage: "list keys by number; the keys themselves are not kept",
 		Flags: clientFlags(&cli.StringFlag{Name: flagOrganisation, Usage: "list only keys of this organisation"}),
 		Action: withClient(func(ctx context.Context, c *cli.Command, client *operator.Client) error {
-			configuration, err := currentConfiguration(ctx, c, client)
+			list, err := client.Keys(ctx, c.String(flagOrganisation))
 			if err != nil {
 				return err
 			}
-			listed := []operator.Key{}
-			for _, k := range configuration.Keys {
-				if organisation := c.String(flagOrganisation); organisation == "" || k.Organisation == organisation {
-					listed = append(listed, k)
-				}
-			}
-			return render(c, listed, keyTable(listed).write)
+			warnUnconfirmed(c, list.Revision, list.Confirmed)
+			return render(c, list.Keys, keyTable(list.Keys).write)
 		}),
 	}
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -80,7 +80,17 @@
 	return strings.TrimSuffix(server, "/"), nil
 }
 
-// Configuration returns all documents and keys.
+// Keys returns the keys of an organisation, or of all if it is empty.
+func (c *Client) Keys(ctx context.Context, organisation string) (*KeyList, error) {
+	path := pathKeys
+	if organisation != "" {
+		path += "?" + url.Values{paramOrganisation: {organisation}}.Encode()
+	}
+	var list KeyList
+	return &list, c.do(ctx, http.MethodGet, path, nil, &list)
+}
+
+// Configuration returns all documents.
 func (c *Client) Configuration(ctx context.Context) (*Configuration, error) {
 	var configuration Configuration
 	return &configuration, c.do(ctx, http.MethodGet, pathConfiguration, nil, &configuration)
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -2,7 +2,8 @@
 //
 // # Routes
 //
-//	GET    /v1/configuration  documents and keys (without hashes) at the current revision
+//	GET    /v1/configuration  documents at the current revision
+//	GET    /v1/keys           keys, without hashes; ?organisation=NAME for one organisation
 //	POST   /v1/changes        one change, which takes effect wholly or not at all
 //	GET    /v1/status         control replicas, nodes, targets, and the answering node
 //	DELETE /v1/replicas/{id}  remove a control replica that does not come back
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -53,6 +53,7 @@
 	h := &handler{control: control, local: local, token: sha256.Sum256([]byte(token)), log: log}
 	router := mux.NewRouter()
 	router.HandleFunc(pathConfiguration, h.configuration).Methods(http.MethodGet)
+	router.HandleFunc(pathKeys, h.keys).Methods(http.MethodGet)
 	router.HandleFunc(pathChanges, h.change).Methods(http.MethodPost)
 	router.HandleFunc(pathStatus, h.status).Methods(http.MethodGet)
 	router.HandleFunc(pathReplicas+"{id:[0-9]+}", h.removeReplica).Methods(http.MethodDelete)
@@ -107,14 +108,23 @@
 	return subtle.ConstantTimeCompare(sum[:], h.token[:]) == 1
 }
 
-// configuration returns all documents and keys.
-func (h *handler) configuration(w http.ResponseWriter, r *http.Request) {
+// sync asks control for everything. It answers the request itself and returns nil when control doesn't.
+func (h *handler) sync(w http.ResponseWriter, r *http.Request) *apiv1.SyncResponse {
 	response, err := h.control.Sync(r.Context(), &apiv1.SyncRequest{})
 	if err == nil && response.GetError() != "" {
 		err = errors.New(response.GetError())
 	}
 	if err != nil {
 		newProblem(CodeControlUnavailable, "no control replica answered: %v", err).write(w)
+		return nil
+	}
+	return response
+}
+
+// configuration returns all documents.
+func (h *handler) configuration(w http.ResponseWriter, r *http.Request) {
+	response := h.sync(w, r)
+	if response == nil {
 		return
 	}
 	configuration, err := configurationOf(response)
@@ -128,38 +138,66 @@
 // configurationOf folds a snapshot or the deltas since revision 0.
 func configurationOf(response *apiv1.SyncResponse) (*Configuration, error) {
 	var state config.State
-	keys := map[uint64]Key{}
-	issue := func(records []*apiv1.KeyRecord) {
-		for _, k := range records {
-			keys[k.GetNumber()] = Key{k.GetNumber(), k.GetOrganisation(), k.GetWithdrawn(), k.GetRevision()}
-		}
-	}
 	if snapshot := response.GetSnapshot(); snapshot != nil {
 		if err := state.Load(snapshot); err != nil {
 			return nil, err
 		}
-		issue(snapshot.GetKeys())
 	}
 	for _, delta := range response.GetDeltas() {
 		if err := state.Add(delta); err != nil {
 			return nil, err
 		}
-		issue(delta.GetIssued())
-		for _, number := range delta.GetWithdrawn() {
-			k := keys[number]
-			k.Withdrawn = true
-			k.Revision = delta.GetRevision()
-			keys[number] = k
-		}
 	}
-	all := &Configuration{Revision: state.Revision(), Confirmed: response.GetVouched() && response.GetVouchedRevision() <= state.Revision()}
+	all := &Configuration{Revision: state.Revision(), Confirmed: confirms(response, state.Revision()), Documents: []Document{}}
 	for _, resource := range state.Resources() {
 		all.Documents = append(all.Documents, FromResource(resource))
 	}
-	all.Keys = sortedKeys(keys)
 	return all, nil
 }
 
+// confirms reports whether an answer vouches for a revision.
+func confirms(response *apiv1.SyncResponse, revision uint64) bool {
+	return response.GetVouched() && response.GetVouchedRevision() <= revision
+}
+
+// keys returns the keys of all organisations, or of one.
+func (h *handler) keys(w http.ResponseWriter, r *http.Request) {
+	response := h.sync(w, r)
+	if response == nil {
+		return
+	}
+	revision := response.GetSnapshot().GetRevision()
+	if deltas := response.GetDeltas(); len(deltas) > 0 {
+		revision = deltas[len(deltas)-1].GetRevision()
+	}
+	listed := keysOf(response, r.URL.Query().Get(paramOrganisation))
+	writeJSON(w, http.StatusOK, &KeyList{Revision: revision, Confirmed: confirms(response, revision), Keys: listed})
+}
+
+// keysOf folds the keys of an organisation, or of all if it is empty, by number.
+func keysOf(response *apiv1.SyncResponse, organisation string) []Key {
+	keys := map[uint64]Key{}
+	issue := func(records []*apiv1.KeyRecord) {
+		for _, k := range records {
+			if organisation == "" || k.GetOrganisation() == organisation {
+				keys[k.GetNumber()] = Key{k.GetNumber(), k.GetOrganisation(), k.GetWithdrawn(), k.GetRevision()}
+			}
+		}
+	}
+	issue(response.GetSnapshot().GetKeys())
+	for _, delta := range response.GetDeltas() {
+		issue(delta.GetIssued())
+		for _, number := range delta.GetWithdrawn() {
+			if k, found := keys[number]; found {
+				k.Withdrawn = true
+				k.Revision = delta.GetRevision()
+				keys[number] = k
+			}
+		}
+	}
+	return sortedKeys(keys)
+}
+
 // change validates the form of a change and proposes it.
 func (h *handler) change(w http.ResponseWriter, r *http.Request) {
 	change, problem := readChange(r.Body)
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -65,7 +65,7 @@
 
 func TestEveryPathNeedsTheToken(t *testing.T) {
 	control := &scriptedControl{}
-	for _, path := range []string{pathConfiguration, pathChanges, pathStatus, pathMetrics, "/", "/debug/pprof/"} {
+	for _, path := range []string{pathConfiguration, pathKeys, pathChanges, pathStatus, pathMetrics, "/", "/debug/pprof/"} {
 		for _, authorization := range []string{"", "Bearer", "Bearer x", "Bearer " + testToken + "x", "Bearer " + testToken[1:], "Basic " + testToken} {
 			w := send(control, authorization, http.MethodPost, path, "{}")
 			require.Equal(t, CodeTokenInvalid, problemOf(t, w).Code, "%s %s", path, authorization)
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -10,6 +10,7 @@
 // Paths of the interface.
 const (
 	pathConfiguration = "/v1/configuration"
+	pathKeys          = "/v1/keys"
 	pathChanges       = "/v1/changes"
 	pathStatus        = "/v1/status"
 	pathReplicas      = "/v1/replicas/"
@@ -37,13 +38,23 @@
 	Revision     uint64 `json:"revision"`
 }
 
-// Configuration is everything that operators set, at one revision.
+// paramOrganisation limits a list of keys to one organisation.
+const paramOrganisation = "organisation"
+
+// KeyList is the issued keys, or those of one organisation, at one revision.
+type KeyList struct {
+	Revision uint64 `json:"revision"`
+	// Confirmed is true when a quorum confirmed the revision while answering.
+	Confirmed bool  `json:"confirmed"`
+	Keys      []Key `json:"keys"`
+}
+
+// Configuration is all documents at one revision.
 type Configuration struct {
 	Revision uint64 `json:"revision"`
 	// Confirmed is true when a quorum confirmed the revision while answering.
 	Confirmed bool       `json:"confirmed"`
 	Documents []Document `json:"documents"`
-	Keys      []Key      `json:"keys"`
 }
 
 // Ref names a document.
