Hold look-ups and the key table to their bounds

Cause: nothing noticed when a look-up began to allocate, or the key table outgrew a node's memory. Change: tests hold Match, ServiceRoute, TargetPolicy and Withdrawn to no allocation, Verify to one, and the table to 256 MB at 10 million keys, which is 25 bytes a key. Shown by: go test -race ./internal/keys ./internal/config passes.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -138,6 +138,15 @@
 	}
 }
 
+// TestLookUpsDoNotAllocate holds what each request passes to no allocation.
+func TestLookUpsDoNotAllocate(t *testing.T) {
+	s := compileSample(t)
+	announced := labels.Set{LabelNode: "n1"}
+	require.Zero(t, testing.AllocsPerRun(100, func() { s.Match(http.MethodGet, "x.example:8080", "/jadual/notices/9") }))
+	require.Zero(t, testing.AllocsPerRun(100, func() { s.ServiceRoute("jadual", http.MethodGet, "/lookup/1") }))
+	require.Zero(t, testing.AllocsPerRun(100, func() { s.TargetPolicy("jadual", "jadual-2", announced, 230) }))
+}
+
 func TestServiceRoute(t *testing.T) {
 	s := compileSample(t)
 	r, code := s.ServiceRoute("jadual", "POST", "/lookup/1")
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"unsafe"
 
 	"github.com/stretchr/testify/require"
 
@@ -65,6 +66,17 @@
 	require.Equal(t, []int{2, 1}, []int{issued, withdrawn})
 }
 
+// TestBounds holds the table to a node's 256 MB at 10 million keys, and the check of a key,
+// which each request passes, to the one allocation that hashing needs.
+func TestBounds(t *testing.T) {
+	const bytesPerKey = 256_000_000 / 10_000_000
+	require.LessOrEqual(t, int(unsafe.Sizeof(page{}))/pageKeys, bytesPerKey)
+	key, rec := issue(t, "court", 1)
+	table := NewTable([]*apiv1.KeyRecord{rec})
+	require.LessOrEqual(t, testing.AllocsPerRun(100, func() { table.Verify(key) }), 1.0)
+	require.Zero(t, testing.AllocsPerRun(100, func() { table.Withdrawn(1) }))
+}
+
 // FuzzVerify checks that no text panics, and that nothing but the issued key is valid.
 func FuzzVerify(f *testing.F) {
 	key := Format(7, strings.Repeat("A", 43))
