Mend data races of the replica's identity; count the work of a replica

The race detector found that requests read the identity while the loop wrote it when founding or joining. It is an atomic pointer now.

--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,10 +37,10 @@
 
 // engineMetrics counts the work of an engine.
 type engineMetrics struct {
-	proposals uint64
-	applied   uint64
-	snapshots uint64
-	installed uint64
+	proposals atomic.Uint64
+	applied   atomic.Uint64
+	snapshots atomic.Uint64
+	installed atomic.Uint64
 }
 
 // StateMachine is the state that a group replicates. Apply must be deterministic.
@@ -201,7 +202,7 @@
 		done(opResult{state: opNotProposed})
 		return
 	}
-	e.metrics.proposals++
+	e.metrics.proposals.Add(1)
 	if old, ok := g.waiting[index]; ok {
 		// This replica led before and its entry at the index was replaced since.
 		old.done(opResult{state: opLost})
@@ -306,7 +307,7 @@
 		g.noteSnapshot(rd.Snapshot)
 		g.appliedByEngine = rd.Snapshot.Index
 		g.forget(rd.Snapshot.Index)
-		e.metrics.installed++
+		e.metrics.installed.Add(1)
 	}
 	for _, entry := range rd.Committed {
 		e.apply(g, entry)
@@ -324,7 +325,7 @@
 	var reply []byte
 	if entry.Kind == apiv1.EntryKind_ENTRY_KIND_COMMAND {
 		reply = g.machine.Apply(entry.Index, entry.Data)
-		e.metrics.applied++
+		e.metrics.applied.Add(1)
 	}
 	g.appliedByEngine = entry.Index
 	g.bytesSince += len(entry.Data)
@@ -448,7 +449,7 @@
 	}
 	g.noteSnapshot(s)
 	g.core.Compact(s.Index, e.sizes.keepEntries)
-	e.metrics.snapshots++
+	e.metrics.snapshots.Add(1)
 	return nil
 }
 
--- a/internal/control/failure_test.go
+++ b/internal/control/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -145,10 +146,9 @@
 		took := c.eventually(5*time.Second, func() bool { return c.revision(follower) == revision })
 		t.Logf("catch-up after 500 changes %v", took)
 		require.LessOrEqual(t, took, inForceBound)
-		engine := c.hosts[follower].replica.engine
-		require.Positive(t, engine.metrics.installed, "it came by a snapshot")
-		require.Positive(t, engine.metrics.snapshots+c.hosts[c.leader()].replica.engine.metrics.snapshots)
-		require.Positive(t, c.hosts[c.leader()].replica.log.Metrics().Rewrites)
+		require.Positive(t, c.hosts[follower].replica.Metrics().Installed, "it came by a snapshot")
+		require.Positive(t, c.hosts[c.leader()].replica.Metrics().Snapshots)
+		require.Positive(t, c.hosts[c.leader()].replica.Metrics().Log.Rewrites)
 		old := c.leader()
 		c.crash(old)
 		c.start(old)
@@ -242,7 +242,7 @@
 
 func TestPlannedStopHandsLeadershipOver(t *testing.T) {
 	inCluster(t, 3, func(c *cluster) {
-		stopped := false
+		var stopped atomic.Bool
 		var longest time.Duration
 		var group sync.WaitGroup
 		leader := c.leader()
@@ -250,7 +250,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			for i := 0; !stopped; i++ {
+			for i := 0; !stopped.Load(); i++ {
 				started := time.Now()
 				c.accept(operators, change(fmt.Sprint(i)))
 				longest = max(longest, time.Since(started))
@@ -263,7 +263,7 @@
 		require.NoError(t, ctx.Err())
 		c.stop(leader)
 		time.Sleep(time.Second)
-		stopped = true
+		stopped.Store(true)
 		group.Wait()
 		t.Logf("longest change across a planned stop of the leader %v", longest)
 		require.Less(t, longest, 500*time.Millisecond, "shorter than an election timeout")
--- a/internal/control/invariants_test.go
+++ b/internal/control/invariants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,19 +41,31 @@
 
 // TestInvariantsUnderFaults runs every fault alone and in pairs, over a fixed list of seeds.
 func TestInvariantsUnderFaults(t *testing.T) {
+	var snapshots, installed, rewrites atomic.Uint64
+	t.Cleanup(func() {
+		require.Positive(t, snapshots.Load())
+		require.Positive(t, installed.Load(), "some replica got a snapshot from its leader")
+		require.Positive(t, rewrites.Load())
+	})
 	for i, faults := range faultPairs() {
 		for s := range seedsOfEachPair {
 			seed := uint64(i*seedsOfEachPair + s + 1)
 			t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 				t.Parallel()
 				hosts := 3 + 2*(s%2)
-				runFaults(t, seed, hosts, faults)
+				w := runFaults(t, seed, hosts, faults)
+				for _, h := range w.hosts {
+					metrics := h.replica.Metrics()
+					snapshots.Add(metrics.Snapshots)
+					installed.Add(metrics.Installed)
+					rewrites.Add(metrics.Log.Rewrites)
+				}
 			})
 		}
 	}
 }
 
-func runFaults(t *testing.T, seed uint64, hosts int, faults faultSet) {
+func runFaults(t *testing.T, seed uint64, hosts int, faults faultSet) *world {
 	w := newWorld(t, seed, hosts, faultSet{})
 	w.until(10*time.Second, w.whole, "all hosts are voters")
 	w.faults = faults
@@ -76,6 +89,7 @@
 	w.until(10*time.Second, idle, "all outcomes are known")
 	w.until(10*time.Second, w.converged, "all replicas hold the same revision")
 	w.checkAccepted()
+	return w
 }
 
 // checkAccepted checks that every replica holds every acknowledged change, under its revision.
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -47,13 +47,13 @@
 	emptyLogBytes = 64
 )
 
-// Log is an open data folder. Only WriteSnapshot and Metrics may be called while another
-// method runs.
+// Log is an open data folder. Only Identity, WriteSnapshot and Metrics may be called while
+// another method runs.
 type Log struct {
 	fs       vfs.FS
 	dir      string
 	lock     io.Closer
-	identity *apiv1.ReplicaIdentity
+	identity atomic.Pointer[apiv1.ReplicaIdentity]
 
 	file     vfs.File
 	number   uint64 // of the current file
@@ -111,7 +111,7 @@
 	if identity.Node != node {
 		return nil, errors.Wrapf(ErrForeign, "%s was made for node %q, this is %q", l.dir, identity.Node, node)
 	}
-	l.identity = identity
+	l.identity.Store(identity)
 	return l.recover()
 }
 
@@ -147,7 +147,7 @@
 
 // Identity returns the identity that is bound to the folder. The caller must not modify it.
 func (l *Log) Identity() *apiv1.ReplicaIdentity {
-	return l.identity
+	return l.identity.Load()
 }
 
 // SetIdentity replaces the identity, for example once the cluster is known.
@@ -155,7 +155,7 @@
 	if err := l.writeFile(identityFile, identity); err != nil {
 		return err
 	}
-	l.identity = identity
+	l.identity.Store(identity)
 	return nil
 }
 
