Give each node of the command tests a loopback address of its own

Cause: ports were taken from the system, given back and taken again, so that another test could take them in between. Change: each host gets an IP number 127.x.y.z by process and count, with the standard ports.

--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -23,14 +23,15 @@
 	"github.com/guavaford/guavaford/internal/settings"
 )
 
-// startNode runs a single host on free loopback addresses until the test ends.
+// startNode runs a single host on a loopback address of its own until the test ends.
 func startNode(t *testing.T) *settings.Node {
 	t.Helper()
 	s := settings.Default()
 	s.DataFolder = filepath.Join(t.TempDir(), "data")
 	s.LogLevel = "error"
+	ip := loopback()
 	for _, address := range []*string{&s.CallersAddress, &s.TargetsAddress, &s.OperatorAddress, &s.PeerAddress} {
-		*address = freeAddress(t)
+		*address = strings.Replace(*address, "127.0.0.1", ip, 1)
 	}
 	require.Empty(t, s.Check())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -48,13 +49,14 @@
 	return filepath.Join(s.DataFolder, "operator-token")
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// hosts counts the loopback hosts of this process.
+var hosts atomic.Uint32
+
+// loopback returns a loopback IP number of its own for each host of each test process, so that
+// no other listener or outgoing connection holds its ports.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%250, pid%256, hosts.Add(1))
 }
 
 // host is a running node with its command line and targets.
