Add a soak run of the example deployments

internal/bench/soak runs a configuration on three nodes under calls and changes, samples goroutines, descriptors and heap, and fails when they grow or when a goroutine is left after the planned stop. make soak runs it for both examples.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Entry points for developers. `make test` is the test command of the README.
-.PHONY: test lint build bench generate
+.PHONY: test lint build bench soak generate
 
 build:
 	CGO_ENABLED=1 go build -o bin/guavaford ./cmd/guavaford
@@ -14,6 +14,12 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+	go run ./internal/bench/callcost
+
+# Runs both example deployments for three minutes each and watches what grows.
+soak:
+	go run ./internal/bench/soak -f examples/koperasi.yaml
+	go run ./internal/bench/soak -f examples/verband.yaml
 
 generate:
 	go generate ./api/...
--- /dev/null
+++ b/internal/bench/soak/sample.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/pkg/errors"
+)
+
+// sample is what the process holds at one time.
+type sample struct {
+	goroutines  int
+	descriptors int
+	heapMB      float64
+}
+
+func takeSample() (sample, error) {
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return sample{}, errors.Wrap(err, "count descriptors")
+	}
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return sample{
+		goroutines:  runtime.NumGoroutine(),
+		descriptors: len(entries),
+		heapMB:      float64(m.HeapAlloc) / 1e6,
+	}, nil
+}
+
+// steady compares the first and the last third of the samples after the warm-up.
+func steady(samples []sample) bool {
+	samples = samples[len(samples)/warmUpShare:]
+	third := len(samples) / 3
+	if third == 0 {
+		fmt.Println("too few samples to tell growth")
+		return false
+	}
+	first, last := samples[:third], samples[len(samples)-third:]
+	ok := true
+	for _, w := range []struct {
+		name  string
+		value func(sample) float64
+	}{
+		{"goroutines", func(s sample) float64 { return float64(s.goroutines) }},
+		{"descriptors", func(s sample) float64 { return float64(s.descriptors) }},
+		{"heap MB", func(s sample) float64 { return s.heapMB }},
+	} {
+		a, b := mean(first, w.value), mean(last, w.value)
+		verdict := "steady"
+		if b > a*allowedGrowth {
+			verdict = "grew"
+			ok = false
+		}
+		fmt.Printf("%s: %.1f -> %.1f: %s\n", w.name, a, b, verdict)
+	}
+	return ok
+}
+
+func mean(samples []sample, value func(sample) float64) float64 {
+	total := 0.0
+	for _, s := range samples {
+		total += value(s)
+	}
+	return total / float64(len(samples))
+}
