Guard the fake of the run-record client's test

Cause: the client's background release and the test touched the fake at the same time. Change: the fake takes a mutex; what the test asks for is unchanged. Shown by: go test -race -count=3 ./internal/runrecord. Conclusion: the race was in the fake.

--- a/internal/runrecord/property_test.go
+++ b/internal/runrecord/property_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,13 +155,20 @@
 
 // flakyService executes a request and loses some of the answers.
 type flakyService struct {
+	mu    sync.Mutex
 	table *Table
 	lost  int
-	seen  []*apiv1.RunRequest
+}
+
+func (s *flakyService) lose(answers int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = answers
 }
 
 func (s *flakyService) Run(_ context.Context, r *apiv1.RunRequest) (*apiv1.RunResponse, error) {
-	s.seen = append(s.seen, r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	record := s.table.execute(proto.Clone(r).(*apiv1.RunRequest))
 	if s.lost > 0 {
 		s.lost--
@@ -177,13 +185,13 @@
 		require.NoError(t, err)
 		require.Equal(t, apiv1.RunState_RUN_STATE_CLAIMED, record.GetState())
 
-		s.lost = 100
+		s.lose(100)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		record, err = c.Claim(ctx, claimBy("a", 2, "other", 0).GetClaim())
 		require.NoError(t, err)
 		require.Equal(t, apiv1.RunState_RUN_STATE_UNAVAILABLE, record.GetState())
-		s.lost = 0
+		s.lose(0)
 		time.Sleep(releaseTimeout)
 		synctest.Wait()
 		record, err = c.Claim(t.Context(), claimBy("b", 1, "other", 0).GetClaim())
