--- a/internal/control/confirm.go
+++ b/internal/control/confirm.go
@@ -10,7 +10,7 @@
 
 // confirmPause is the least time between two quorum rounds of this replica's confirmer. It
 // bounds the rounds that thousands of nodes cause and delays an answer by at most as much.
-const confirmPause = 20 * time.Millisecond
+const confirmPause = 50 * time.Millisecond
 
 // confirmer vouches for the state of this replica. Requests that come in while a quorum round is
 // out wait together for the next one.
--- a/internal/control/failure_test.go
+++ b/internal/control/failure_test.go
@@ -450,6 +450,8 @@
 		}
 		time.Sleep(5 * time.Second)
 		const window = 20 * time.Second
+		leader := c.hosts[c.leader()].replica
+		batchesBefore := leader.Metrics().Batches
 		before := c.net.Traffic("node-0")
 		leaderBefore, followerBefore := c.net.Traffic(c.leader()), c.net.Traffic(c.other(c.leader()))
 		time.Sleep(window)
@@ -463,6 +465,8 @@
 		report("an idle leader", int64(after.Bytes-leaderBefore.Bytes), int64(after.Messages-leaderBefore.Messages))
 		after = c.net.Traffic(c.other(c.leader()))
 		report("an idle follower", int64(after.Bytes-followerBefore.Bytes), int64(after.Messages-followerBefore.Messages))
+		batches := leader.Metrics().Batches - batchesBefore
+		t.Logf("an idle leader sends %d batches/s to other replicas", batches/uint64(window.Seconds()))
 		cancel()
 		group.Wait()
 	})
