--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -51,6 +51,10 @@
 	snapshot := o.Board.Configuration.Load().Snapshot
 	route, code := snapshot.Match(r.Method, r.Host, r.URL.Path)
 	if code != "" {
+		// A node that has not heard of its configuration yet can't say what routes there are.
+		if stale := o.Keyring.fresh(); stale != nil {
+			return nil, stale
+		}
 		return nil, outcome.NotRun(code, 0, "%s %s", r.Method, r.URL.Path)
 	}
 	available, refusal := timeout(r.Header, route)
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -29,17 +29,29 @@
 
 // Timing of run records.
 const (
-	claimTimeout   = 2 * time.Second
-	finishTimeout  = 2 * time.Second
-	finishAttempts = 10
-	joinFirstWait  = 20 * time.Millisecond
-	joinMaxWait    = 250 * time.Millisecond
+	claimTimeout       = 2 * time.Second
+	incarnationTimeout = 500 * time.Millisecond
+	finishTimeout      = 2 * time.Second
+	finishAttempts     = 10
+	joinFirstWait      = 20 * time.Millisecond
+	joinMaxWait        = 250 * time.Millisecond
 )
 
 // RunRecords claims and finishes runs in a quorum of control replicas.
 type RunRecords interface {
 	Claim(ctx context.Context, c *apiv1.RunClaim) (*apiv1.RunRecord, error)
 	Finish(ctx context.Context, f *apiv1.RunFinish) error
+	// DeclareLost records that the answer of a claim's attempt can't be had any more.
+	DeclareLost(ctx context.Context, c *apiv1.RunClaim) error
+	// Wait returns when nothing that the records do by themselves is under way.
+	Wait()
+	// Close ends what the records do by themselves.
+	Close()
+}
+
+// Incarnations asks nodes for their incarnation.
+type Incarnations interface {
+	Incarnation(ctx context.Context, address string) (uint64, error)
 }
 
 // Runs makes requests with an Idempotency-Key run at most once over all nodes.
@@ -51,6 +63,7 @@
 	identity   peer.Identity
 	address    string
 	records    RunRecords
+	nodes      Incarnations
 	dispatcher Dispatcher
 	clock      clock.Clock
 	metrics    *telemetry.Metrics
@@ -59,6 +72,9 @@
 	flights    *flights
 	// background counts the runs and finishes that are under way.
 	background sync.WaitGroup
+	// life ends when the process ends without waiting for runs.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // RunsOptions are the parts that Runs works with.
@@ -67,6 +83,7 @@
 	// Address is the peer address of this node.
 	Address    string
 	Records    RunRecords
+	Nodes      Incarnations
 	Dispatcher Dispatcher
 	Clock      clock.Clock
 	Metrics    *telemetry.Metrics
@@ -75,10 +92,14 @@
 
 // NewRuns returns Runs that work with o.
 func NewRuns(o RunsOptions) *Runs {
+	life, end := context.WithCancel(context.Background())
 	return &Runs{
+		life:       life,
+		end:        end,
 		identity:   o.Identity,
 		address:    o.Address,
 		records:    o.Records,
+		nodes:      o.Nodes,
 		dispatcher: o.Dispatcher,
 		clock:      o.Clock,
 		metrics:    o.Metrics,
@@ -90,6 +111,14 @@
 // Wait returns when no run and no finish is under way.
 func (r *Runs) Wait() {
 	r.background.Wait()
+	r.records.Wait()
+}
+
+// Close ends every run and finish that is under way.
+func (r *Runs) Close() {
+	r.end()
+	r.records.Close()
+	r.background.Wait()
 }
 
 // Do runs a request under its key, or returns the answer of the run that the key names.
@@ -153,6 +182,7 @@
 		if record.GetState() != apiv1.RunState_RUN_STATE_RUNNING {
 			return record, nil
 		}
+		r.declareLost(ctx, record.GetClaim())
 		if !sleep(ctx, wait) {
 			return nil, stillRunning()
 		}
@@ -160,6 +190,28 @@
 	}
 }
 
+// declareLost ends the claim of a process that no longer runs. Nobody can say any more
+// whether its run happened.
+func (r *Runs) declareLost(ctx context.Context, claim *apiv1.RunClaim) {
+	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
+	defer cancel()
+	incarnation, err := r.incarnationOf(ctx, claim)
+	if err != nil || incarnation == claim.GetIncarnation() {
+		return
+	}
+	if err := r.records.DeclareLost(ctx, claim); err != nil {
+		r.log.Warn("run not declared lost", "organisation", claim.GetOrganisation(), "node", claim.GetNode(), "err", err)
+	}
+}
+
+// incarnationOf returns the current incarnation of the node that holds a claim.
+func (r *Runs) incarnationOf(ctx context.Context, claim *apiv1.RunClaim) (uint64, error) {
+	if claim.GetNode() == r.identity.Node {
+		return r.identity.Incarnation, nil
+	}
+	return r.nodes.Incarnation(ctx, claim.GetAddress())
+}
+
 // unusable returns the refusal for a record that neither lets run nor holds an answer.
 func unusable(state apiv1.RunState) *outcome.Refusal {
 	switch state {
@@ -227,7 +279,7 @@
 // run dispatches a claimed request. The run goes on when its caller leaves.
 func (r *Runs) run(ctx context.Context, key flightKey, one *flight, claim *apiv1.RunClaim, req *dispatch.Request) *dispatch.Result {
 	answers := make(chan *dispatch.Result)
-	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Origin.Deadline)
+	runCtx, cancel := context.WithDeadline(r.life, req.Origin.Deadline)
 	r.background.Add(1)
 	go func() {
 		defer r.background.Done()
@@ -335,14 +387,16 @@
 func (r *Runs) finish(f *apiv1.RunFinish) {
 	for attempt := range finishAttempts {
 		f.NowUnixNs = r.clock.Now().UnixNano()
-		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		ctx, cancel := context.WithTimeout(r.life, finishTimeout)
 		err := r.records.Finish(ctx, f)
 		cancel()
 		if err == nil {
 			return
 		}
 		r.log.Warn("run record not finished", "organisation", f.GetOrganisation(), "attempt", attempt, "err", err)
-		time.Sleep(min(joinFirstWait<<attempt, time.Second))
+		if !sleep(r.life, min(joinFirstWait<<attempt, time.Second)) {
+			return
+		}
 	}
 }
 
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -66,6 +66,7 @@
 // Close ends everything at once, as a crash would.
 func (p *Process) Close() {
 	p.cancel()
+	p.runs.Close()
 	for _, server := range []*http.Server{p.callers, p.targets, p.operators} {
 		_ = server.Close()
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -120,7 +120,6 @@
 		o: parts{
 			Dependencies: d,
 			settings:     s,
-			identity:     peer.Identity{Node: s.Name, Incarnation: peer.NewIncarnation(d.Clock.Now())},
 			metrics:      telemetry.NewMetrics(),
 		},
 		failed: make(chan error, 8),
@@ -129,6 +128,11 @@
 	if err != nil {
 		return nil, err
 	}
+	incarnation, err := nextIncarnation(d.FS, s.DataFolder, d.Clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	p.o.identity = peer.Identity{Node: s.Name, Incarnation: incarnation}
 	p.token = secrets.operatorToken
 	if p.transport = d.Transport; p.transport == nil {
 		if p.transport, err = peer.NewYamux(secrets.fleet); err != nil {
@@ -188,6 +192,7 @@
 		Identity:   p.o.identity,
 		Address:    s.PeerAddress,
 		Records:    records,
+		Nodes:      sender{pool: p.pool},
 		Dispatcher: p.dispatcher,
 		Clock:      p.o.Clock,
 		Metrics:    p.o.metrics,
--- a/internal/node/sender.go
+++ b/internal/node/sender.go
@@ -39,6 +39,13 @@
 	return resp, err
 }
 
+// Incarnation asks the node at an address for its incarnation.
+func (s sender) Incarnation(ctx context.Context, address string) (uint64, error) {
+	resp := &apiv1.Hello{}
+	err := peer.Unary(ctx, s.pool, address, apiv1.Method_METHOD_PING, &apiv1.Hello{}, resp)
+	return resp.GetIncarnation(), err
+}
+
 // received turns an answer from the network into the gate's form. A refusal has no body,
 // but it brings back what was lent; its exchange ends here.
 func received(a *peer.Answer) *gate.Answer {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -23,6 +23,11 @@
 		func(_ context.Context, _ peer.Identity, r *apiv1.FenceRequest) (*apiv1.FenceResponse, error) {
 			return fence(id, g, r), nil
 		})
+	peer.HandleUnary(s, apiv1.Method_METHOD_PING,
+		func() *apiv1.Hello { return &apiv1.Hello{} },
+		func(context.Context, peer.Identity, *apiv1.Hello) (*apiv1.Hello, error) {
+			return &apiv1.Hello{Node: id.Node, Incarnation: id.Incarnation}, nil
+		})
 }
 
 // fence answers a fence request. A node that has restarted since can promise nothing.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 
+	"github.com/guavaford/guavaford/internal/board"
 	"github.com/guavaford/guavaford/internal/control"
 	"github.com/guavaford/guavaford/internal/operator"
 	"github.com/guavaford/guavaford/internal/telemetry"
@@ -102,3 +103,6 @@
 
 // Metrics returns the metrics of the node.
 func (p *Process) Metrics() *telemetry.Metrics { return p.o.metrics }
+
+// Configuration returns the configuration in force at the node.
+func (p *Process) Configuration() *board.Configuration { return p.board.Configuration.Load() }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +34,8 @@
 	// dozing is set while the monitor waits on wake.
 	dozing atomic.Bool
 	wake   chan struct{}
-	probe  sync.Mutex
+	// probe holds one element while an exchange probes the connection.
+	probe chan struct{}
 }
 
 // openConn says Hello on a new session and starts the connection's goroutines.
@@ -57,6 +57,7 @@
 		control: newControlWriter(stream),
 		pong:    make(chan struct{}, 1),
 		wake:    make(chan struct{}, 1),
+		probe:   make(chan struct{}, 1),
 	}
 	c.hear()
 	go c.control.run(session.Done())
@@ -271,9 +272,13 @@
 	if !c.longIdle() {
 		return true
 	}
-	c.probe.Lock()
-	defer c.probe.Unlock()
-	if !c.longIdle() {
+	select {
+	case c.probe <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-c.probe }()
+	if !c.longIdle() || !c.alive() {
 		return c.alive()
 	}
 	if !c.answersPing(ctx) {
--- a/internal/runrecord/client.go
+++ b/internal/runrecord/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,11 +28,27 @@
 type Client struct {
 	service Service
 	shards  func() uint32
+	// life ends with Close; background counts the releases that are under way.
+	life       context.Context
+	end        context.CancelFunc
+	background sync.WaitGroup
 }
 
 // NewClient returns a client. shards tells the current number of shards.
 func NewClient(service Service, shards func() uint32) *Client {
-	return &Client{service: service, shards: shards}
+	life, end := context.WithCancel(context.Background())
+	return &Client{service: service, shards: shards, life: life, end: end}
+}
+
+// Wait returns when no release is under way.
+func (c *Client) Wait() {
+	c.background.Wait()
+}
+
+// Close ends the releases that are under way.
+func (c *Client) Close() {
+	c.end()
+	c.background.Wait()
 }
 
 // ShardOf returns the shard of a record among the given number of shards.
@@ -53,7 +70,7 @@
 	req := &apiv1.RunRequest{Shard: ShardOf(claim.GetOrganisation(), claim.GetKey(), c.shards()), Claim: claim}
 	record, err := c.try(ctx, req)
 	if err != nil || record.GetState() == apiv1.RunState_RUN_STATE_UNAVAILABLE {
-		go c.release(context.WithoutCancel(ctx), claim)
+		c.background.Go(func() { c.release(claim) })
 		return &apiv1.RunRecord{State: apiv1.RunState_RUN_STATE_UNAVAILABLE}, nil
 	}
 	return record, nil
@@ -80,8 +97,8 @@
 }
 
 // release says that the attempt of a claim was not run.
-func (c *Client) release(ctx context.Context, claim *apiv1.RunClaim) {
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+func (c *Client) release(claim *apiv1.RunClaim) {
+	ctx, cancel := context.WithTimeout(c.life, releaseTimeout)
 	defer cancel()
 	_ = c.Finish(ctx, outcomeOf(claim, apiv1.Ran_RAN_NO))
 }
