--- a/internal/ratelab/scenario.go
+++ b/internal/ratelab/scenario.go
@@ -79,7 +79,7 @@
 )
 
 // run drives flows through a world and returns one row for each.
-func run(scenario string, d Deployment, m Method, flows []Flow, seed uint64) []Row {
+func run(scenario string, d Deployment, m Method, flows []Flow, seed uint64, events ...func(w *World)) []Row {
 	w := NewWorld(m.Cfg, seed)
 	w.Link = Link{Delay: d.Delay, Jitter: d.Delay / 5}
 	w.AddOwner(0, 0)
@@ -94,6 +94,9 @@
 		tallies[i] = NewTally(f.PerSecond, f.Burst)
 		w.drive(f, tallies[i], splitFor(w, f, m))
 	}
+	for _, schedule := range events {
+		schedule(w)
+	}
 	w.At(warmUp, func() {
 		w.Messages = 0
 		w.Bytes = 0
@@ -189,13 +192,30 @@
 	return run("g", d, m, []Flow{flow}, 2)
 }
 
-// Rows runs both scenarios for both deployments and all methods.
+// OwnerChange is one organisation at 70 % of its rate whose shard moves to another owner
+// once. The former owner grants until its ownership lease ends; nodes learn of the new one
+// within 300 ms.
+func OwnerChange(d Deployment, m Method) []Row {
+	flow := Flow{Organisation: "steady", PerSecond: 200, Burst: 100, Demand: 140, Node: anyNode}
+	change := func(w *World) {
+		w.At(warmUp+measured/2, func() { w.AddOwner(0, w.cfg.OwnerLease) })
+		for _, n := range w.nodes {
+			w.At(warmUp+measured/2+time.Duration(w.rnd.Int64N(int64(300*time.Millisecond))), n.Follow)
+		}
+	}
+	return run("owner change", d, m, []Flow{flow}, 3, change)
+}
+
+// Rows runs the scenarios for both deployments and all methods.
 func Rows() []Row {
 	var rows []Row
 	for _, m := range Methods() {
 		for _, d := range []Deployment{Koperasi, Verband} {
 			rows = append(rows, LargeBesideSmall(d, m)...)
 			rows = append(rows, MovingDemand(d, m)...)
+			if !m.Split {
+				rows = append(rows, OwnerChange(d, m)...)
+			}
 		}
 	}
 	return rows
