Tell a lost run from a running one, and bar claims that come after their release

Cause: the record of a run whose node died stayed RUNNING for its whole time, so that resends waited to their deadline for an hour; and a claim delayed past its release held the key for nobody. Change: a claim carries the longest run time; a run without an outcome 40 s after that is LOST, until its node records one. A release without a claim bars the attempt. A released key may be used with another body, since nothing ran. The gateway sets the run time. Conclusion: resends get outcome-unknown soon after a node's death, and a late claim holds nothing.

--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -153,6 +153,7 @@
 		Incarnation:  r.identity.Incarnation,
 		Number:       r.sequence.Add(1),
 		Address:      r.address,
+		TimeoutNs:    int64(req.Origin.Deadline.Sub(r.clock.Now())),
 	}
 	record, refusal := r.await(ctx, claim)
 	if refusal == nil && record.GetState() == apiv1.RunState_RUN_STATE_CLAIMED {
--- a/internal/runrecord/doc.go
+++ b/internal/runrecord/doc.go
@@ -10,8 +10,11 @@
 //
 //	(none) --claim--> RUNNING --finish(yes)--> FINISHED
 //	                     |----finish(unknown)--> LOST --finish(yes)--> FINISHED
+//	                     |----no outcome in time--> LOST
 //	                     `----finish(no)--> released, and may be claimed by another attempt
 //
+// A release that comes before its claim bars the attempt, so that a late claim holds nothing.
+//
 // # Bounds
 //
 // A record is kept for a stated time after its last change. The table is bounded by count
--- a/internal/runrecord/property_test.go
+++ b/internal/runrecord/property_test.go
@@ -138,6 +138,24 @@
 	require.Equal(t, apiv1.RunState_RUN_STATE_FINISHED, apply(t, table, claimBy("b", 2, "k", 2*time.Second)).GetState())
 }
 
+func TestRunWithoutOutcomeIsLost(t *testing.T) {
+	table := NewTable(Config{})
+	first := claimBy("a", 1, "k", 0)
+	first.Claim.TimeoutNs = int64(5 * time.Second)
+	apply(t, table, first)
+	require.Equal(t, apiv1.RunState_RUN_STATE_RUNNING, apply(t, table, claimBy("b", 1, "k", 5*time.Second+lostGrace)).GetState())
+	require.Equal(t, apiv1.RunState_RUN_STATE_LOST, apply(t, table, claimBy("b", 1, "k", 6*time.Second+lostGrace)).GetState())
+	apply(t, table, finishBy("a", 1, "k", apiv1.Ran_RAN_YES, time.Minute))
+	require.Equal(t, apiv1.RunState_RUN_STATE_FINISHED, apply(t, table, claimBy("b", 1, "k", time.Minute)).GetState())
+}
+
+func TestLateClaimOfAnAttemptGivenUpHoldsNothing(t *testing.T) {
+	table := NewTable(Config{})
+	apply(t, table, finishBy("a", 1, "k", apiv1.Ran_RAN_NO, 0))
+	require.Equal(t, apiv1.RunState_RUN_STATE_UNSPECIFIED, apply(t, table, claimBy("a", 1, "k", 0)).GetState())
+	require.Equal(t, apiv1.RunState_RUN_STATE_CLAIMED, apply(t, table, claimBy("b", 1, "k", 0)).GetState())
+}
+
 func TestBytesBoundRefusesAndOmits(t *testing.T) {
 	table := NewTable(Config{MaxBytes: 3000})
 	require.Equal(t, apiv1.RunState_RUN_STATE_CLAIMED, apply(t, table, claimBy("a", 1, "k", 0)).GetState())
--- a/internal/runrecord/table.go
+++ b/internal/runrecord/table.go
@@ -37,6 +37,10 @@
 // claims are not taken for new ones.
 const releasedMax = 16
 
+// lostGrace is how long after its longest run time an attempt may still record its outcome
+// before the run counts as lost. A node tries for about 30 s.
+const lostGrace = 40 * time.Second
+
 // recordOverhead estimates the memory of a record beside its strings and bytes.
 const recordOverhead = 640
 
@@ -143,11 +147,14 @@
 	if !ok {
 		return t.open(key, by, c)
 	}
+	if r.state == apiv1.RunState_RUN_STATE_UNSPECIFIED {
+		return t.reclaim(r, by, c)
+	}
 	if string(r.claim.GetDigest()) != string(c.GetDigest()) {
 		return &apiv1.RunRecord{State: apiv1.RunState_RUN_STATE_MISMATCH}
 	}
-	if r.state == apiv1.RunState_RUN_STATE_UNSPECIFIED {
-		return t.reclaim(r, by, c)
+	if r.overdue(t.now) {
+		t.lose(r)
 	}
 	if r.state == apiv1.RunState_RUN_STATE_RUNNING && r.holder == by {
 		return &apiv1.RunRecord{State: apiv1.RunState_RUN_STATE_CLAIMED, Claim: r.claim}
@@ -155,6 +162,12 @@
 	return r.message()
 }
 
+// overdue reports whether a run has had no outcome for longer than it can last.
+func (r *record) overdue(now int64) bool {
+	timeout := r.claim.GetTimeoutNs()
+	return r.state == apiv1.RunState_RUN_STATE_RUNNING && timeout > 0 && now-r.changed > timeout+int64(lostGrace)
+}
+
 // open makes a record if the bounds allow it.
 func (t *Table) open(key recordKey, by attempt, c *apiv1.RunClaim) *apiv1.RunRecord {
 	r := &record{key: key, state: apiv1.RunState_RUN_STATE_RUNNING, holder: by, claim: c, changed: t.now}
@@ -187,6 +200,9 @@
 func (t *Table) end(f *apiv1.RunFinish) *apiv1.RunRecord {
 	r, ok := t.records[recordKey{organisation: f.GetOrganisation(), key: f.GetKey()}]
 	by := attempt{node: f.GetNode(), incarnation: f.GetIncarnation(), number: f.GetNumber()}
+	if !ok && f.GetRan() == apiv1.Ran_RAN_NO {
+		t.bar(f, by)
+	}
 	if !ok || r.holder != by {
 		return &apiv1.RunRecord{}
 	}
@@ -204,6 +220,16 @@
 	return r.message()
 }
 
+// bar notes that an attempt was given up whose claim has not come yet, so that a late
+// claim does not hold the key. Without room for the note it is left out.
+func (t *Table) bar(f *apiv1.RunFinish, by attempt) {
+	key := recordKey{organisation: f.GetOrganisation(), key: f.GetKey()}
+	c := &apiv1.RunClaim{Organisation: key.organisation, Key: key.key}
+	if t.open(key, by, c).GetState() == apiv1.RunState_RUN_STATE_CLAIMED {
+		t.release(t.records[key])
+	}
+}
+
 // finish stores the answer. Without room for its body only the fact that it ran is kept.
 func (t *Table) finish(r *record, f *apiv1.RunFinish) {
 	r.state = apiv1.RunState_RUN_STATE_FINISHED
