--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"io"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -82,6 +83,11 @@
 	}
 }
 
+// renderAccepted writes the answer to a change for programs; submit has told it to people.
+func renderAccepted(c *cli.Command, accepted *operator.Accepted) error {
+	return render(c, accepted, func(io.Writer) error { return nil })
+}
+
 // resendFlags returns the flags that make a repeated command an equal resend.
 func resendFlags(change *operator.Change) string {
 	if change.AnyRevision {
@@ -114,8 +120,11 @@
 		if err := prepare(c, change, &configuration.Revision); err != nil {
 			return err
 		}
-		_, err = submit(ctx, c, client, change)
-		if err == nil || exitCode(err) != ExitConflict || fixed || try == maxConflicts {
+		accepted, err := submit(ctx, c, client, change)
+		if err == nil {
+			return renderAccepted(c, accepted)
+		}
+		if exitCode(err) != ExitConflict || fixed || try == maxConflicts {
 			return err
 		}
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -192,6 +192,7 @@
 	f := newFleet(t)
 	path := f.file("a.yaml", example)
 	f.ok("apply", "-f", path, "--change-id", "first", "--expected-revision", "0")
+	require.JSONEq(t, `{"id":"first","revision":1}`, f.ok("apply", "-f", path, "--change-id", "first", "--expected-revision", "0", "-o", "json"))
 	again := f.run("apply", "-f", path, "--change-id", "first", "--expected-revision", "0")
 	require.Equal(t, ExitOK, again.code, "a resend gets the recorded outcome")
 	require.Contains(t, again.errOut, "accepted at revision 1")
@@ -215,6 +216,7 @@
 	f.ok("keys", "withdraw", "--organisation", "court")
 	require.NotContains(t, f.ok("keys", "list"), "valid")
 	require.Contains(t, f.fails(ExitUsage, "keys", "withdraw", "gf_1_x"), "not the key itself")
+	require.Contains(t, f.fails(ExitUsage, "get", "keys"), "keys list")
 }
 
 func TestDrain(t *testing.T) {
--- a/internal/cli/files.go
+++ b/internal/cli/files.go
@@ -84,8 +84,11 @@
 	if err := prepare(c, change, current); err != nil {
 		return err
 	}
-	_, err := submit(ctx, c, client, change)
-	return err
+	accepted, err := submit(ctx, c, client, change)
+	if err != nil {
+		return err
+	}
+	return renderAccepted(c, accepted)
 }
 
 // merge returns the current documents with those of the files put in, and the number that differ.
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -152,8 +152,11 @@
 			if err := prepare(c, change, nil); err != nil {
 				return err
 			}
-			_, err = submit(ctx, c, client, change)
-			return err
+			accepted, err := submit(ctx, c, client, change)
+			if err != nil {
+				return err
+			}
+			return renderAccepted(c, accepted)
 		}),
 	}
 }
--- a/internal/cli/refs.go
+++ b/internal/cli/refs.go
@@ -21,6 +21,9 @@
 			return kind, nil
 		}
 	}
+	if lower == "key" || lower == "keys" {
+		return "", usageError("keys are no documents; see: keys list")
+	}
 	return "", usageError("%q is not a kind; allowed: %s", text, strings.ToLower(strings.Join(config.Kinds(), ", ")))
 }
 
