Let a node fall silent once its owner has no lease of it; split the account

Cause: a node whose lease ended at the owner before its last report repeated that report every 300 ms for good, since the answer without a lease acknowledged nothing. Change: an answer that knows no lease acknowledges the report. The file of the account is split into the lease held, the waiting requests and the account itself. Conclusion: an idle node sends nothing to rate owners.

--- a/internal/rate/account.go
+++ b/internal/rate/account.go
@@ -7,7 +7,6 @@
 	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
-	"github.com/guavaford/guavaford/internal/outcome"
 )
 
 // demandTimeConstant is the time over which demand is averaged.
@@ -16,109 +15,6 @@
 // demandSampleMin is the least time between two samples of demand.
 const demandSampleMin = 20 * time.Millisecond
 
-// forecastFresh is how long the owner's forecast is relied upon.
-const forecastFresh = time.Second
-
-// holding is a lease as its node sees it. Spending touches only the atomic fields.
-type holding struct {
-	id uint64
-	// validUntil is the end of the lease in nanoseconds of the lessee's time.
-	validUntil atomic.Int64
-	// available counts the tokens that may still be spent.
-	available atomic.Int64
-	// lastSpent is the time of the latest spending in nanoseconds of the lessee's time.
-	lastSpent atomic.Int64
-	// stamp is the owner's time of the latest answer.
-	stamp atomic.Int64
-	// reports counts the reports made of this lease.
-	reports atomic.Uint64
-
-	// The fields below are guarded by the account's mutex.
-	granted  uint64
-	returned uint64
-	// ackSpent and ackReturned are the counts that the owner is known to have.
-	ackSpent    uint64
-	ackReturned uint64
-	// refunded counts reported spendings that were taken back, ackRefunded those the owner knows.
-	refunded    uint64
-	ackRefunded uint64
-	// refundStamp is the least stamp of the refunds that the owner may not know.
-	refundStamp int64
-}
-
-// take spends a token if one is available and the lease is valid.
-func (h *holding) take(now int64) bool {
-	if now >= h.validUntil.Load() {
-		return false
-	}
-	if h.available.Load() <= 0 {
-		return false
-	}
-	h.markSpent(now)
-	for {
-		n := h.available.Load()
-		if n <= 0 {
-			return false
-		}
-		if h.available.CompareAndSwap(n, n-1) {
-			return true
-		}
-	}
-}
-
-// markSpent notes a spending before it happens, so that a report never overstates its age.
-func (h *holding) markSpent(now int64) {
-	for {
-		last := h.lastSpent.Load()
-		if last >= now || h.lastSpent.CompareAndSwap(last, now) {
-			return
-		}
-	}
-}
-
-// spent returns the tokens spent so far. Callers hold the account's mutex.
-func (h *holding) spent() uint64 {
-	return h.granted - h.returned - uint64(h.available.Load())
-}
-
-// giveBack returns up to n available tokens.
-func (h *holding) giveBack(n int64) {
-	for n > 0 {
-		have := h.available.Load()
-		if have <= 0 {
-			return
-		}
-		back := min(n, have)
-		if h.available.CompareAndSwap(have, have-back) {
-			h.returned += uint64(back)
-			return
-		}
-	}
-}
-
-// Ticket is the place of a waiting request in its account.
-type Ticket struct {
-	account  *account
-	deadline int64
-	done     chan result
-}
-
-// result is a token or the refusal of a waiting request.
-type result struct {
-	charge  Charge
-	refusal *outcome.Refusal
-}
-
-// Poll returns the outcome of the wait; ok is false while it is open.
-func (t *Ticket) Poll() (charge Charge, refusal *outcome.Refusal, ok bool) {
-	select {
-	case r := <-t.done:
-		return r.charge, r.refusal, true
-	default:
-		return Charge{}, nil, false
-	}
-}
-
 // account is what a node keeps of one organisation.
 type account struct {
 	organisation string
@@ -291,6 +187,10 @@
 // applyGrant updates the lease and serves waiting requests.
 func (a *account) applyGrant(now, sentAt, stamp int64, sent *apiv1.TokenDemand, g *apiv1.TokenGrant) {
 	h := a.lease.Load()
+	if g.GetLeaseId() == 0 && h != nil && sent.GetLeaseId() == h.id {
+		// The owner has no lease of this node any more, and no use for its counts.
+		h.acknowledge(sent)
+	}
 	if g.GetLeaseId() == 0 || (h != nil && g.GetLeaseId() < h.id) {
 		return
 	}
@@ -322,104 +222,6 @@
 	h.available.Add(int64(tokens))
 }
 
-// acknowledge notes what the owner now knows.
-func (h *holding) acknowledge(sent *apiv1.TokenDemand) {
-	h.ackSpent = max(h.ackSpent, sent.GetSpent())
-	h.ackReturned = max(h.ackReturned, sent.GetReturned())
-	h.ackRefunded = max(h.ackRefunded, sent.GetRefunded())
-	if h.ackRefunded == h.refunded {
-		h.refundStamp = 0
-	}
-}
-
-// pop removes the first waiting request.
-func (a *account) pop() *Ticket {
-	t := a.waiting[0]
-	a.waiting[0] = nil
-	a.waiting = a.waiting[1:]
-	return t
-}
-
-func (a *account) resolve(t *Ticket, r result) {
-	a.queued.Add(-1)
-	t.done <- r
-}
-
-// expected returns when a request at the given place of the queue can get a token;
-// ok is false if that can't be told.
-func (a *account) expected(now int64, place int) (at int64, ok bool) {
-	if a.starting {
-		return a.askAt, true
-	}
-	if a.share <= 0 || now-a.forecastAt > int64(forecastFresh) {
-		return 0, false
-	}
-	wait := float64(place+1) / a.share * float64(time.Second)
-	return a.forecastAt + int64(wait), true
-}
-
-// patience returns until when an arrival may wait if its wait can be told. A list that does
-// not become empty stems from demand above the rate; a long wait would not lessen it.
-func (a *account) patience(now, limit int64) int64 {
-	if len(a.waiting) == 0 {
-		a.busySince = now
-	}
-	if now-a.busySince > int64(a.cfg.MaxWait) {
-		return min(limit, now+int64(a.cfg.OverloadWait))
-	}
-	return limit
-}
-
-// refuseHopeless refuses waiting requests that can't get a token before their deadline.
-func (a *account) refuseHopeless(now int64) {
-	kept := a.waiting[:0]
-	for _, t := range a.waiting {
-		at, ok := a.expected(now, len(kept))
-		if ok && at > t.deadline {
-			a.resolve(t, result{refusal: a.refusal(now, at)})
-			continue
-		}
-		kept = append(kept, t)
-	}
-	clear(a.waiting[len(kept):])
-	a.waiting = kept
-}
-
-// dropLate refuses waiting requests whose deadline has passed.
-func (a *account) dropLate(now int64) {
-	kept := a.waiting[:0]
-	for _, t := range a.waiting {
-		if now >= t.deadline {
-			a.resolve(t, result{refusal: a.lateRefusal(now)})
-			continue
-		}
-		kept = append(kept, t)
-	}
-	clear(a.waiting[len(kept):])
-	a.waiting = kept
-}
-
-// refusal says that no token can come in time.
-func (a *account) refusal(now, at int64) *outcome.Refusal {
-	after := time.Duration(at - now)
-	if a.starting {
-		return outcome.NotRun(outcome.RateUnavailable, after, "the rate owner of %s starts", a.organisation)
-	}
-	return outcome.NotRun(outcome.RateExceeded, after, "no token of %s is free in time", a.organisation)
-}
-
-// lateRefusal says that no token came in time.
-func (a *account) lateRefusal(now int64) *outcome.Refusal {
-	if now-a.forecastAt > int64(forecastFresh) {
-		return outcome.NotRun(outcome.RateUnavailable, a.cfg.LeaseTTL, "the rate owner of %s does not answer", a.organisation)
-	}
-	after := int64(a.cfg.Interval)
-	if at, ok := a.expected(now, len(a.waiting)); ok {
-		after = max(after, at-now)
-	}
-	return outcome.NotRun(outcome.RateExceeded, time.Duration(after), "no token of %s came in time", a.organisation)
-}
-
 // refund takes back a spent token. One whose spending was not yet reported can be spent
 // again here; the refund of another is reported to the owner.
 func (a *account) refund(c Charge, now int64) {
--- a/internal/ratelab/bound_test.go
+++ b/internal/ratelab/bound_test.go
@@ -242,3 +242,29 @@
 	w.Run(4 * time.Second)
 	return admissions, byHoarder
 }
+
+// A node whose lease ended at the owner without its last report falls silent.
+func TestNodeFallsSilentAfterItsLeaseEnded(t *testing.T) {
+	w := NewWorld(rate.Config{}, 1)
+	w.SetLimits("o", 100, 50)
+	w.AddOwner(0, 0)
+	n := w.AddNode(0, 0)
+	admitted := 0
+	request := func() {
+		n.Request("o", time.Second, func(o Outcome) {
+			if o.Admitted {
+				admitted++
+			}
+		})
+	}
+	for at := time.Second; at < 2*time.Second; at += 10 * time.Millisecond {
+		w.At(at, request)
+	}
+	w.At(1950*time.Millisecond, func() { n.Cut = true })
+	w.At(5*time.Second, func() { n.Cut = false })
+	w.Run(6 * time.Second)
+	require.Positive(t, admitted)
+	before := w.Messages
+	w.Run(30 * time.Second)
+	require.LessOrEqual(t, w.Messages-before, 2)
+}
