--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -53,8 +53,7 @@
 // Core is the state machine of a gate. It is not safe for concurrent use.
 type Core struct {
 	config   Config
-	variant  Variant
-	limiter  limiter
+	limiter  *limiter
 	shedder  *shedder
 	queue    queue
 	hold     latency
@@ -64,23 +63,9 @@
 	ready    []Ready
 }
 
-// Variant selects among decisions that are being compared.
-type Variant struct {
-	Limit Algorithm
-	// FIFO ignores depth, organisation and deadline within a class.
-	FIFO bool
-	// NoCutoffs turns early shedding off.
-	NoCutoffs bool
-}
-
 // NewCore returns the state machine for the target that c describes.
 func NewCore(c Config) *Core {
-	return NewVariant(c, Variant{})
-}
-
-// NewVariant returns a state machine with other decisions than the default ones.
-func NewVariant(c Config, v Variant) *Core {
-	return &Core{config: c, limiter: newLimiter(v.Limit), shedder: newShedder(), queue: queue{fifo: v.FIFO}, variant: v}
+	return &Core{config: c, limiter: newLimiter(), shedder: newShedder()}
 }
 
 // Configure replaces the description of the target.
@@ -235,9 +220,6 @@
 
 // cutoff returns the cutoff for answers to an organisation.
 func (c *Core) cutoff(organisation string) *apiv1.Cutoff {
-	if c.variant.NoCutoffs {
-		return nil
-	}
 	own, common := c.shedder.cutoffs(organisation)
 	return &apiv1.Cutoff{Service: c.config.Service, Common: common, Own: own}
 }
@@ -246,7 +228,7 @@
 // done work for it, is left to the order of the queue.
 func (c *Core) shed(r *Request) bool {
 	own, _ := c.shedder.cutoffs(r.Organisation)
-	return r.Depth == 0 && r.Level >= own && !c.variant.NoCutoffs
+	return r.Depth == 0 && r.Level >= own
 }
 
 // dispatch starts queued requests while slots are free.
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -5,15 +5,6 @@
 	"time"
 )
 
-// limiter adapts how many requests may run at once. Implementations are pure: they change
-// only by sample.
-type limiter interface {
-	// limit returns the current limit, at least 1 and at most slots.
-	limit(slots int) int
-	// sample takes the outcome of one request. inFlight includes the request itself.
-	sample(s limitSample)
-}
-
 // limitSample is what a limiter learns from one request.
 type limitSample struct {
 	now time.Time
@@ -26,29 +17,6 @@
 	kind  Kind
 }
 
-// Algorithm names a limiter.
-type Algorithm int
-
-// The limiters.
-const (
-	Probing Algorithm = iota
-	AIMD
-	Gradient
-)
-
-// newLimiter returns a limiter that starts at the announced slots.
-func newLimiter(a Algorithm) limiter {
-	switch a {
-	case AIMD:
-		return newAIMDLimiter()
-	case Gradient:
-		return newGradientLimiter()
-	default:
-		return newProbingLimiter()
-	}
-}
-
-// Parameters shared by the limiters.
 const (
 	// limitWindow and limitWindowSamples must both be reached before a limit changes.
 	limitWindow        = 100 * time.Millisecond
@@ -109,96 +77,13 @@
 // unlimited marks a limit that only the announced slots bound.
 const unlimited = math.MaxInt32
 
-// aimdLimiter adds to the limit while latency stays near its baseline and multiplies it down
-// when latency rises. The baseline follows the latency slowly, so a target that has become
-// slower for good gets its limit back in time.
-type aimdLimiter struct {
-	value    float64
-	baseline float64
-	window   window
-}
-
-const (
-	aimdCut = 0.9
-	// aimdBaselineGain is the weight of a window in the baseline when it is slower.
-	aimdBaselineGain = 0.02
-)
-
-func newAIMDLimiter() *aimdLimiter { return &aimdLimiter{value: unlimited} }
-
-func (l *aimdLimiter) limit(slots int) int { return clampLimit(l.value, slots) }
-
-func (l *aimdLimiter) sample(s limitSample) {
-	if !l.window.add(s) {
-		return
-	}
-	w := l.window
-	l.window = window{}
-	l.value = min(l.value, float64(s.slots))
-	mean := w.mean()
-	if l.baseline == 0 || mean < l.baseline {
-		l.baseline = mean
-	}
-	switch {
-	case w.rejects > 0:
-		l.value *= limitRejectCut
-	case mean > l.baseline*limitSlowdown:
-		l.value *= aimdCut
-	case float64(w.inFlight) >= l.value*limitBusy:
-		l.value += max(1, l.value*limitGrowth)
-	}
-	l.baseline += aimdBaselineGain * (mean - l.baseline)
-	l.value = max(l.value, 1)
-}
-
-// gradientLimiter multiplies the limit by the ratio of long-term to current latency and adds
-// a small queue on top.
-type gradientLimiter struct {
-	value  float64
-	long   float64
-	window window
-}
-
-const (
-	gradientLongGain = 0.02
-	gradientMin      = 0.5
-)
-
-func newGradientLimiter() *gradientLimiter { return &gradientLimiter{value: unlimited} }
-
-func (l *gradientLimiter) limit(slots int) int { return clampLimit(l.value, slots) }
-
-func (l *gradientLimiter) sample(s limitSample) {
-	if !l.window.add(s) {
-		return
-	}
-	w := l.window
-	l.window = window{}
-	l.value = min(l.value, float64(s.slots))
-	mean := w.mean()
-	if l.long == 0 || mean < l.long {
-		l.long = mean
-	}
-	l.long += gradientLongGain * (mean - l.long)
-	if w.rejects > 0 {
-		l.value = max(l.value*limitRejectCut, 1)
-		return
-	}
-	if float64(w.inFlight) < l.value*limitBusy {
-		return
-	}
-	gradient := 1.0
-	if mean > 0 {
-		gradient = min(max(l.long*limitSlowdown/mean, gradientMin), 1)
-	}
-	l.value = max(l.value*gradient+math.Sqrt(l.value), 1)
-}
-
-// probingLimiter cuts the limit when latency rises, and keeps the cut only if throughput
+// limiter adapts how many requests may run at once. It is pure: it changes only by sample.
+//
+// It cuts the limit when latency rises, and keeps the cut only if throughput
 // held: a target with more requests inside than it can run serves as many with fewer, whereas
 // one that merely became slower serves fewer. In the second case the old limit comes back and
 // the new latency becomes the baseline.
-type probingLimiter struct {
+type limiter struct {
 	value    float64
 	baseline float64
 	window   window
@@ -219,11 +104,11 @@
 	probeHeld = 0.85
 )
 
-func newProbingLimiter() *probingLimiter { return &probingLimiter{value: unlimited} }
+func newLimiter() *limiter { return &limiter{value: unlimited} }
 
-func (l *probingLimiter) limit(slots int) int { return clampLimit(l.value, slots) }
+func (l *limiter) limit(slots int) int { return clampLimit(l.value, slots) }
 
-func (l *probingLimiter) sample(s limitSample) {
+func (l *limiter) sample(s limitSample) {
 	if !l.window.add(s) {
 		return
 	}
@@ -260,7 +145,7 @@
 }
 
 // change sets a new limit and skips the window that still mixes it with the old one.
-func (l *probingLimiter) change(limit float64, before trial) {
+func (l *limiter) change(limit float64, before trial) {
 	l.value = max(limit, 1)
 	l.before = before
 	l.settle = true
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -28,7 +28,6 @@
 	weight       float64
 	// start is the virtual time at which the next request of the flow is due.
 	start   float64
-	fifo    bool
 	waiters []*Waiter
 }
 
@@ -37,7 +36,7 @@
 
 func (f *flow) Less(i, j int) bool {
 	a, b := f.waiters[i], f.waiters[j]
-	if f.fifo || a.Deadline.Equal(b.Deadline) {
+	if a.Deadline.Equal(b.Deadline) {
 		return a.queued.Before(b.queued)
 	}
 	return !a.Deadline.IsZero() && (b.Deadline.IsZero() || a.Deadline.Before(b.Deadline))
@@ -96,13 +95,8 @@
 }
 
 // push queues a request behind those of its organisation that are due earlier.
-func (b *band) push(w *Waiter, fifo bool) {
-	key := w.Organisation
-	if fifo {
-		key = ""
-	}
-	f := b.find(key, w.weight())
-	f.fifo = fifo
+func (b *band) push(w *Waiter) {
+	f := b.find(w.Organisation, w.weight())
 	if len(f.waiters) == 0 {
 		f.start = max(f.start, b.virtual)
 	}
@@ -146,8 +140,6 @@
 
 // queue orders requests by class, depth, organisation and deadline.
 type queue struct {
-	// fifo ignores depth, organisation and deadline within a class.
-	fifo  bool
 	bands [MaxPriority + 1][maxDepthBand + 1]band
 	// classes and depths have a bit set for each class, and each depth of it, in use.
 	classes uint16
@@ -157,17 +149,14 @@
 }
 
 // place returns the class and depth band of a request.
-func (q *queue) place(r *Request) (priority, depth int) {
-	if q.fifo {
-		return clampPriority(r.Priority), 0
-	}
+func place(r *Request) (priority, depth int) {
 	return clampPriority(r.Priority), min(max(r.Depth, 0), maxDepthBand)
 }
 
 // push queues a request.
 func (q *queue) push(w *Waiter) {
-	priority, depth := q.place(&w.Request)
-	q.bands[priority][depth].push(w, q.fifo)
+	priority, depth := place(&w.Request)
+	q.bands[priority][depth].push(w)
 	q.classes |= 1 << priority
 	q.depths[priority] |= 1 << depth
 	q.byClass[priority]++
@@ -201,7 +190,7 @@
 	if w.flow == nil {
 		return false
 	}
-	priority, depth := q.place(&w.Request)
+	priority, depth := place(&w.Request)
 	heap.Remove(w.flow, w.index)
 	q.bands[priority][depth].queued--
 	q.left(w, priority, depth)
--- a/internal/lab/cmd/measures/main.go
+++ b/internal/lab/cmd/measures/main.go
@@ -13,16 +13,12 @@
 	short := flag.Bool("short", false, "use the lengths of the checks in CI")
 	product := flag.Bool("product", false, "leave the baselines out")
 	reasons := flag.Bool("reasons", false, "print why requests failed")
-	variants := flag.Bool("variants", false, "compare variants of single decisions")
 	only := flag.String("only", "", "prefix of the scenarios to run")
 	flag.Parse()
 	length, policies := lab.Full(), lab.Policies()
 	if *short {
 		length = lab.Short()
 	}
-	if *variants {
-		policies = lab.Variants()
-	}
 	if *product {
 		policies = policies[:1]
 	}
--- a/internal/lab/gates.go
+++ b/internal/lab/gates.go
@@ -26,8 +26,8 @@
 	queued map[*admission.Waiter]*attempt
 }
 
-func newCoreGate(sim *Sim, c admission.Config, v admission.Variant) *coreGate {
-	return &coreGate{sim: sim, core: admission.NewVariant(c, v), queued: make(map[*admission.Waiter]*attempt)}
+func newCoreGate(sim *Sim, c admission.Config) *coreGate {
+	return &coreGate{sim: sim, core: admission.NewCore(c), queued: make(map[*admission.Waiter]*attempt)}
 }
 
 func (g *coreGate) arrive(a *attempt) {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -30,7 +30,6 @@
 type Policy struct {
 	Name      string
 	Admission Admission
-	Variant   admission.Variant
 	// Routing uses the product's picker; else targets are drawn at random.
 	Routing bool
 	Route   route.Config
@@ -44,25 +43,6 @@
 	return []Policy{Product(), {Name: "fixed-fifo", Admission: Fixed}, {Name: "pass-through", Admission: PassThrough}}
 }
 
-// Variants returns the product with single decisions replaced, for comparison.
-func Variants() []Policy {
-	change := func(name string, edit func(*Policy)) Policy {
-		p := Product()
-		p.Name = name
-		edit(&p)
-		return p
-	}
-	return []Policy{
-		Product(),
-		change("limit-aimd", func(p *Policy) { p.Variant.Limit = admission.AIMD }),
-		change("limit-gradient", func(p *Policy) { p.Variant.Limit = admission.Gradient }),
-		change("queue-fifo", func(p *Policy) { p.Variant.FIFO = true }),
-		change("no-cutoffs", func(p *Policy) { p.Variant.NoCutoffs = true }),
-		change("route-in-flight", func(p *Policy) { p.Route.Variant = route.LeastInFlight }),
-		change("route-uniform", func(p *Policy) { p.Route.Variant = route.Uniform }),
-	}
-}
-
 // Product returns the policy with all decisions of the product.
 func Product() Policy {
 	return Policy{Name: "guavaford", Routing: true, Route: route.DefaultConfig(), Retries: true}
@@ -153,7 +133,7 @@
 	case PassThrough:
 		return &openGate{}
 	default:
-		return newCoreGate(r.sim, c, r.policy.Variant)
+		return newCoreGate(r.sim, c)
 	}
 }
 
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -25,19 +25,6 @@
 	noTargetRetryAfter = time.Second
 )
 
-// Variant names a policy of choice.
-type Variant int
-
-// The policies.
-const (
-	// LoadByLatency takes the lower load times latency of two draws.
-	LoadByLatency Variant = iota
-	// LeastInFlight takes the fewer calls in flight of two draws.
-	LeastInFlight
-	// Uniform takes the first draw.
-	Uniform
-)
-
 // Config sets up a Picker.
 type Config struct {
 	// SlowStart is the time in which a new target comes to its full load; 0 turns it off.
@@ -45,8 +32,6 @@
 	// MaxEjected is the largest share of targets ejected at a time; unless it is 0, one of
 	// several targets may always be ejected.
 	MaxEjected float64
-	// Variant selects a policy that is being compared.
-	Variant Variant
 	// Cutoffs is shared by the pickers of a node; nil gives the picker its own.
 	Cutoffs *Cutoffs
 }
@@ -290,12 +275,6 @@
 // score returns the expected cost of a call at a target: its load for each slot times its
 // latency, raised during slow start.
 func (p *Picker) score(now int64, e *entry) float64 {
-	switch p.config.Variant {
-	case LeastInFlight:
-		return float64(e.inFlight.Load() + 1)
-	case Uniform:
-		return 1
-	}
 	requests, limit := e.load(now)
 	if limit == 0 {
 		limit = int64(max(e.target.Slots, 1))
