Cause partitions and restarts between two nodes

go test -race ./internal/peer: a partition of 10 s, twice, amid calls (those that find no connection have sent nothing; calls work again within 3 s of the heal, although what was held back arrives late), and a server that restarts amid a call (a reset, not silence; the next answer comes from the new incarnation).

--- a/internal/peer/failure_test.go
+++ b/internal/peer/failure_test.go
@@ -193,3 +193,64 @@
 		}
 	})
 }
+
+// TestPartitionAndHeal keeps the hosts apart amid calls. Calls fail within the
+// bounds, those that find no connection have sent nothing, and calls work again
+// soon after, although everything that was held back arrives late.
+func TestPartitionAndHeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		handled := 0
+		f := newFixture(t, peer.ServerOptions{}, func(ctx context.Context, in *peer.IncomingCall) {
+			handled++
+			echo(ctx, in)
+		})
+		defer f.close()
+		for range 2 {
+			require.NoError(t, f.roundTrip(context.Background(), 100))
+			f.net.Partition([]string{"a"}, []string{"b"})
+			unsent := 0
+			for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+				begun := time.Now()
+				err := f.roundTrip(context.Background(), 100)
+				var callErr *peer.CallError
+				require.ErrorAs(t, err, &callErr)
+				require.Equal(t, callErr.Sent, callErr.Silent)
+				require.LessOrEqual(t, time.Since(begun), 2*time.Second+silenceBound)
+				if !callErr.Sent {
+					unsent++
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.Positive(t, unsent)
+			f.net.Heal()
+			require.Eventually(t, func() bool { return f.roundTrip(context.Background(), 100) == nil }, 3*time.Second, 50*time.Millisecond)
+			time.Sleep(time.Second)
+		}
+		require.LessOrEqual(t, handled, 6, "what was held back can run at most once")
+	})
+}
+
+// TestRestartedServerIsANewIncarnation ends the process at the other end amid a call.
+func TestRestartedServerIsANewIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, peer.ServerOptions{}, func(ctx context.Context, _ *peer.IncomingCall) { <-ctx.Done() })
+		defer f.close()
+		time.AfterFunc(100*time.Millisecond, func() { f.net.Crash("b") })
+		err := f.roundTrip(context.Background(), 100)
+		var callErr *peer.CallError
+		require.ErrorAs(t, err, &callErr)
+		require.True(t, callErr.Sent)
+		require.False(t, callErr.Silent, "a reset is not silence")
+
+		restarted := peer.NewServer(peer.Identity{Node: "b", Incarnation: 3}, peer.ServerOptions{})
+		restarted.HandleCall(echo)
+		listener, err := f.net.Host("b").Listen("b:1")
+		require.NoError(t, err)
+		go func() { _ = restarted.Serve(listener) }()
+		defer restarted.Close()
+		answer, err := f.call(context.Background(), 0)
+		require.NoError(t, err)
+		require.Equal(t, peer.Identity{Node: "b", Incarnation: 3}, answer.From)
+		require.NoError(t, answer.Body.Close())
+	})
+}
