--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -19,6 +19,8 @@
 const (
 	// maxLatency is the largest latency that a histogram holds.
 	maxLatency = time.Minute
+	// idleConnTimeout closes the connections of a caller that a burst has left behind.
+	idleConnTimeout = 10 * time.Second
 	// significantDigits is the precision of histograms.
 	significantDigits = 3
 )
@@ -139,6 +141,7 @@
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConns:        connections,
 		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}}
 }
--- a/internal/bench/soak/traffic.go
+++ b/internal/bench/soak/traffic.go
@@ -45,8 +45,10 @@
 	rnd  *rand.Rand
 
 	answered, failed, changed atomic.Int64
-	mu                        sync.Mutex
-	reasons                   map[string]int
+	// once counts requests that must not run twice, keyed those with an Idempotency-Key.
+	once, keyed atomic.Int64
+	mu          sync.Mutex
+	reasons     map[string]int
 }
 
 func newTraffic(ctx context.Context, fleet *bench.Fleet, snapshot *config.Snapshot) (*traffic, error) {
@@ -141,7 +143,11 @@
 	if !route.Open {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
+	if !route.Idempotent(method) {
+		t.once.Add(1)
+	}
 	if body != nil && number%oneInKeyed == 0 {
+		t.keyed.Add(1)
 		req.Header.Set("Idempotency-Key", fmt.Sprintf("soak-%d", number))
 	}
 	resp, err := t.client.Do(req)
