--- a/examples/target/main.go
+++ b/examples/target/main.go
@@ -31,6 +31,7 @@
 	coldFactor  float64
 	calls       []string
 	failEvery   int
+	journal     string
 }
 
 func main() {
@@ -59,6 +60,7 @@
 			&cli.DurationFlag{Name: "cold-start", Usage: "time after the start in which requests take longer", Destination: &o.coldStart},
 			&cli.FloatFlag{Name: "cold-factor", Value: 5, Usage: "how much longer they take", Destination: &o.coldFactor},
 			&cli.StringSliceFlag{Name: "call", Usage: "sub-call SERVICE/PATH made by each request; may be repeated", Destination: &o.calls},
+			&cli.StringFlag{Name: "journal", Usage: "file to which each started request is appended as METHOD PATH", Destination: &o.journal},
 			&cli.IntFlag{Name: "fail-every", Usage: "answer each n-th request with status 500; 0 for none", Destination: &o.failEvery},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx, o) },
--- a/examples/target/serve.go
+++ b/examples/target/serve.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,10 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if err := h.note(r); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	for _, call := range h.options.calls {
 		if status := h.subCall(r, call); status != http.StatusOK {
 			http.Error(w, fmt.Sprintf("sub-call %s answered %d", call, status), http.StatusBadGateway)
@@ -53,6 +58,20 @@
 	fmt.Fprintf(w, "%s %s for %s: request %d\n", h.options.service, h.options.name, r.Header.Get(headers.Organisation), n)
 }
 
+// note appends the request to the journal, if there is one.
+func (h *handler) note(r *http.Request) error {
+	if h.options.journal == "" {
+		return nil
+	}
+	journal, err := os.OpenFile(h.options.journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer journal.Close()
+	_, err = fmt.Fprintf(journal, "%s %s\n", r.Method, r.URL.Path)
+	return err
+}
+
 // serviceTime returns the time of one request, which is longer during the cold start.
 func (h *handler) serviceTime() time.Duration {
 	if time.Since(h.started) < h.options.coldStart {
