Describe targets by the labels that nodes add

Cause: describe resolved selectors over the announced labels alone, so that a target whose node is drained still showed under its route. Change: config.WithReserved adds the labels of the node, for describe and for the policies of the data path alike. Shown by: TestDrain announces a target without these labels; go test ./internal/cli ./internal/config passes.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -221,7 +221,7 @@
 
 func TestDrain(t *testing.T) {
 	f := newFleet(t)
-	f.control.targets = []*apiv1.TargetRecord{{Name: "jadual-1", Service: "jadual", Node: "n4", Labels: map[string]string{config.LabelNode: "n4"}}}
+	f.control.targets = []*apiv1.TargetRecord{{Name: "jadual-1", Service: "jadual", Node: "n4"}}
 	f.ok("apply", "-f", f.file("a.yaml", example))
 	for _, args := range [][]string{{"jadual/jadual-1"}, {"-l", "zone in (kl, shah-alam)", "jadual"}, {"--node", "n4"}} {
 		f.ok(append([]string{"drain"}, args...)...)
--- a/internal/cli/describe.go
+++ b/internal/cli/describe.go
@@ -62,6 +62,11 @@
 	}
 }
 
+// announcedLabels returns the labels by which documents select a target.
+func announcedLabels(t operator.TargetStatus) labels.Set {
+	return config.WithReserved(t.Labels, t.Node, t.DataCentre, t.Name)
+}
+
 // keysOf returns the keys of an organisation.
 func keysOf(ctx context.Context, client *operator.Client, organisation string) ([]operator.Key, error) {
 	list, err := client.Keys(ctx, organisation)
@@ -109,14 +114,14 @@
 		r := routeNamed(s, d.Name)
 		add(config.KindClass, r.Class.Name)
 		for _, t := range targets {
-			policy := s.TargetPolicy(t.Service, t.Name, t.Labels, int(t.Slots))
+			policy := s.TargetPolicy(t.Service, t.Name, announcedLabels(t), int(t.Slots))
 			if t.Service == r.Service && r.Selector.Matches(policy.Labels) && !policy.Draining {
 				add("announced target", t.Node+"/"+t.Name)
 			}
 		}
 	case *config.TargetSpec:
 		for _, t := range targets {
-			if spec.Chooses(t.Service, t.Name, t.Labels) {
+			if spec.Chooses(t.Service, t.Name, announcedLabels(t)) {
 				add("announced target", t.Node+"/"+t.Name)
 			}
 		}
--- a/internal/config/target.go
+++ b/internal/config/target.go
@@ -65,8 +65,13 @@
 	return s.Selector.Matches(announced)
 }
 
-// TargetPolicy returns what applies to a target. The announced labels must include
-// LabelNode and LabelDataCentre. Documents for every service apply first, then those
+// WithReserved returns the announced labels of a target with those that its node adds.
+func WithReserved(announced labels.Set, node, dataCentre, target string) labels.Set {
+	return labels.Merge(announced, labels.Set{LabelNode: node, LabelDataCentre: dataCentre, LabelTarget: target})
+}
+
+// TargetPolicy returns what applies to a target. The announced labels must be
+// those of WithReserved. Documents for every service apply first, then those
 // of the service; within each, those for all targets, then those by selector, then those by
 // name, each in order of their names. A later document replaces the fields that it sets; a
 // drain by any document counts. Slots only lower what the target announced.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -2,10 +2,6 @@
 package policy
 
 import (
-	"maps"
-
-	"k8s.io/apimachinery/pkg/labels"
-
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/admission"
 	"github.com/guavaford/guavaford/internal/blackboard"
@@ -16,11 +12,7 @@
 
 // Of returns what applies to a target under a snapshot.
 func Of(s *config.Snapshot, t *registry.Target) config.TargetPolicy {
-	announced := make(labels.Set, len(t.Labels)+3)
-	maps.Copy(announced, t.Labels)
-	announced[config.LabelNode] = t.Node
-	announced[config.LabelDataCentre] = t.DataCentre
-	announced[config.LabelTarget] = t.Name
+	announced := config.WithReserved(t.Labels, t.Node, t.DataCentre, t.Name)
 	return s.TargetPolicy(t.Service, t.Name, announced, t.Slots)
 }
 
