Find a lost replica sooner, and renew the leases of rate owners more often

Change: election timeout from 600 to 450 ms, an owner counts as lost after 650 ms (900 before), the owner's lease is 300 ms renewed each 75 ms. The fleet test now asks for six organisations and counts when a refused request began.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -14,7 +14,7 @@
 // Times of the leader's duties.
 const (
 	// replicaTimeout is the time without a sign of life after which an owner's shards move.
-	replicaTimeout = 900 * time.Millisecond
+	replicaTimeout = 650 * time.Millisecond
 	// balancePause is the least time between two moves that only even out the load.
 	balancePause = 10 * time.Second
 	// leaderPause is the time between two looks at where leaders should be.
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -17,8 +17,8 @@
 // confirmed the old owner; it waits ownershipLease and the life of a token lease from then on
 // (rate.Config.TakeoverWait) before it grants.
 const (
-	ownershipLease   = 500 * time.Millisecond
-	ownershipRenewal = 125 * time.Millisecond
+	ownershipLease   = 300 * time.Millisecond
+	ownershipRenewal = 75 * time.Millisecond
 )
 
 // ownership implements rate.Ownership.
--- a/internal/fleet/failover_test.go
+++ b/internal/fleet/failover_test.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // failoverLimit is the stated time in which control must be back after a replica is lost.
@@ -15,6 +18,7 @@
 func TestReplicaLossKeepsServing(t *testing.T) {
 	for i := range 3 {
 		inSite(t, uint64(10+i), func(s *site) {
+			keys := s.keysOverShards()
 			time.Sleep(5 * time.Second)
 			crashed := s.Hosts[i]
 			crashed.Crash()
@@ -26,9 +30,13 @@
 					if h == crashed {
 						continue
 					}
-					if reply := s.book(h, "/warm"); !reply.OK() {
-						last = time.Since(start)
-						refusals[string(reply.Code)]++
+					for _, key := range keys {
+						began := time.Since(start)
+						reply := h.Call(Request{Method: http.MethodPost, Path: "/bookings/warm", Key: key.Text, Timeout: 500 * time.Millisecond})
+						if !reply.OK() {
+							last = began
+							refusals[string(reply.Code)]++
+						}
 					}
 				}
 				time.Sleep(20 * time.Millisecond)
@@ -38,3 +46,17 @@
 		})
 	}
 }
+
+// keysOverShards issues keys of organisations whose rate shards have different owners.
+func (s *site) keysOverShards() []Key {
+	keys := []Key{s.key}
+	for i := range 5 {
+		name := fmt.Sprintf("shard-%d", i)
+		doc := fmt.Sprintf("kind: Organisation\nname: %s\nlabels: {size: large}\n", name)
+		require.NoError(s.t, s.Hosts[0].Apply(name, doc, settleTime))
+		key, err := s.Hosts[0].IssueKey(name, settleTime)
+		require.NoError(s.t, err)
+		keys = append(keys, key)
+	}
+	return keys
+}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -47,7 +47,7 @@
 // Default timing and sizes.
 const (
 	DefaultHeartbeat     = 100 * time.Millisecond
-	DefaultElection      = 600 * time.Millisecond
+	DefaultElection      = 450 * time.Millisecond
 	DefaultBatchBytes    = 256 << 10
 	DefaultChunkBytes    = 256 << 10
 	DefaultWindow        = 64
