Split the larger files of control and replica by their jobs

No change of behaviour: engine into groups and maintenance, replica into options, loop, view and metrics, leader into progress and peers, and the operators out of the test world.

--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/replica"
@@ -50,82 +49,8 @@
 	Restore(data []byte) error
 }
 
-// engineSizes decide when snapshots are taken and the log file is rewritten.
-type engineSizes struct {
-	// rewriteBytes is the least size at which the log file is rewritten.
-	rewriteBytes int64
-	// snapshotBytes is the least size of the log behind a snapshot at which the next is taken, and
-	// the largest size of a snapshot that is also taken by snapshotEntries.
-	snapshotBytes   int
-	snapshotEntries uint64
-	// keepEntries stay in memory behind a snapshot for replicas that are a little behind.
-	keepEntries uint64
-}
-
-// defaultSizes are the sizes of a running replica.
-var defaultSizes = engineSizes{
-	rewriteBytes:    8 << 20,
-	snapshotBytes:   1 << 20,
-	snapshotEntries: 4096,
-	keepEntries:     1024,
-}
-
 const readTimeout = time.Second
 
-// group is one replicated group of an engine.
-type group struct {
-	core    *replica.Core
-	machine StateMachine
-	waiting map[uint64]waiter
-	reads   map[uint64]pendingRead
-	// confirmed reads wait until their index is applied.
-	confirmed []confirmedRead
-
-	snapshotIndex   uint64
-	snapshotTerm    uint64
-	snapshotBytes   int
-	bytesSince      int
-	appliedByEngine uint64
-	// writing is true while a snapshot of this group is being written elsewhere.
-	writing bool
-}
-
-// opState is the end of a proposal.
-type opState int
-
-const (
-	// opApplied: committed and applied; the reply is the state machine's.
-	opApplied opState = iota
-	// opNotProposed: nothing was appended.
-	opNotProposed
-	// opLost: another entry took the place in the log; this one never takes effect.
-	opLost
-	// opUnknown: the outcome can't be told here.
-	opUnknown
-)
-
-// opResult is the end of a proposal with its reply.
-type opResult struct {
-	state opState
-	reply []byte
-}
-
-// waiter waits for the entry of a term at an index.
-type waiter struct {
-	term uint64
-	done func(opResult)
-}
-
-type pendingRead struct {
-	deadline time.Time
-	done     func(ok bool)
-}
-
-type confirmedRead struct {
-	index uint64
-	done  func(ok bool)
-}
-
 func newEngine(log *wal.Log, rnd *rand.Rand) *engine {
 	return &engine{
 		log:       log,
@@ -166,13 +91,6 @@
 	return nil
 }
 
-func (g *group) noteSnapshot(s *apiv1.GroupSnapshot) {
-	g.snapshotIndex = s.Index
-	g.snapshotTerm = s.Term
-	g.snapshotBytes = len(s.Data)
-	g.bytesSince = 0
-}
-
 // step takes a message of another replica.
 func (e *engine) step(now time.Time, m *apiv1.RaftMessage) {
 	if int(m.Group) < len(e.groups) {
@@ -341,162 +259,6 @@
 	w.done(opResult{state: opLost})
 }
 
-// forget ends the proposals that a snapshot has passed over.
-func (g *group) forget(index uint64) {
-	for i, w := range g.waiting {
-		if i <= index {
-			delete(g.waiting, i)
-			w.done(opResult{state: opUnknown})
-		}
-	}
-}
-
-func (g *group) confirm(read replica.ReadState) {
-	pending, ok := g.reads[read.ID]
-	if !ok {
-		return
-	}
-	delete(g.reads, read.ID)
-	if !read.OK {
-		pending.done(false)
-		return
-	}
-	g.confirmed = append(g.confirmed, confirmedRead{read.Index, pending.done})
-}
-
-// finishReads ends the reads whose index is applied.
-func (g *group) finishReads() {
-	if len(g.confirmed) == 0 {
-		return
-	}
-	var waiting []confirmedRead
-	for _, read := range g.confirmed {
-		if read.index > g.appliedByEngine {
-			waiting = append(waiting, read)
-			continue
-		}
-		read.done(true)
-	}
-	g.confirmed = waiting
-}
-
-// maintain takes snapshots and rewrites the log file when they have grown.
-func (e *engine) maintain() error {
-	for i, g := range e.groups {
-		if e.snapshotDue(g) {
-			if err := e.snapshot(uint32(i), g); err != nil {
-				return err
-			}
-		}
-	}
-	if e.log.Size() < e.rewriteAt || e.writing > 0 {
-		return nil
-	}
-	if err := e.log.Rewrite(e.records()); err != nil {
-		return err
-	}
-	e.rewriteAt = max(e.sizes.rewriteBytes, 4*e.log.Size())
-	return nil
-}
-
-// snapshotDue balances the work of a snapshot against the log that it makes unnecessary.
-func (e *engine) snapshotDue(g *group) bool {
-	if g.writing {
-		return false
-	}
-	if g.bytesSince >= max(e.sizes.snapshotBytes, g.snapshotBytes) {
-		return true
-	}
-	return g.appliedByEngine >= g.snapshotIndex+e.sizes.snapshotEntries && g.snapshotBytes <= e.sizes.snapshotBytes
-}
-
-// snapshot writes the applied state of a group.
-func (e *engine) snapshot(number uint32, g *group) error {
-	data, err := g.machine.Snapshot()
-	if err != nil {
-		return errors.Wrapf(err, "group %d: snapshot", number)
-	}
-	s := g.core.SnapshotAt()
-	s.Data = data
-	if e.writeSnapshot != nil {
-		g.writing = true
-		e.writing++
-		e.writeSnapshot(number, s)
-		return nil
-	}
-	if err := e.log.SaveSnapshot(number, s); err != nil {
-		return err
-	}
-	return e.adoptSnapshot(number, s)
-}
-
-// finishSnapshot takes over a snapshot that was written elsewhere.
-func (e *engine) finishSnapshot(number uint32, s *apiv1.GroupSnapshot) error {
-	e.groups[number].writing = false
-	e.writing--
-	if s.Index <= e.groups[number].snapshotIndex {
-		return nil // one from the leader came first
-	}
-	return e.adoptSnapshot(number, s)
-}
-
-// adoptSnapshot makes a durable snapshot count and drops the log before it.
-func (e *engine) adoptSnapshot(number uint32, s *apiv1.GroupSnapshot) error {
-	g := e.groups[number]
-	record := &apiv1.WalRecord{Group: number, SnapshotIndex: s.Index, SnapshotTerm: s.Term}
-	if err := e.log.Append([]*apiv1.WalRecord{record}); err != nil {
-		return err
-	}
-	g.noteSnapshot(s)
-	g.core.Compact(s.Index, e.sizes.keepEntries)
-	e.metrics.snapshots.Add(1)
-	return nil
-}
-
-// records returns what a rewritten log file must hold.
-func (e *engine) records() []*apiv1.WalRecord {
-	var records []*apiv1.WalRecord
-	for i, g := range e.groups {
-		hard, entries := g.core.Retained(g.snapshotIndex)
-		records = append(records, &apiv1.WalRecord{
-			Group:         uint32(i),
-			HardState:     hard,
-			SnapshotIndex: g.snapshotIndex,
-			SnapshotTerm:  g.snapshotTerm,
-			Entries:       entries,
-		})
-	}
-	return records
-}
-
-// found makes this replica the only member of new groups, durably, and returns what
-// addGroup needs of each.
-func found(log *wal.Log, self *apiv1.ReplicaInfo, machines []StateMachine) ([]*wal.Group, error) {
-	var groups []*wal.Group
-	var records []*apiv1.WalRecord
-	for i, machine := range machines {
-		data, err := machine.Snapshot()
-		if err != nil {
-			return nil, err
-		}
-		member := proto.CloneOf(self)
-		member.Learner = false
-		snapshot := &apiv1.GroupSnapshot{
-			Index:      1,
-			Term:       1,
-			Membership: &apiv1.Membership{Replicas: []*apiv1.ReplicaInfo{member}},
-			Data:       data,
-		}
-		if err := log.SaveSnapshot(uint32(i), snapshot); err != nil {
-			return nil, err
-		}
-		hard := &apiv1.HardState{Term: 1, Commit: 1}
-		groups = append(groups, &wal.Group{HardState: hard, Snapshot: snapshot})
-		records = append(records, &apiv1.WalRecord{Group: uint32(i), HardState: hard, SnapshotIndex: 1, SnapshotTerm: 1})
-	}
-	return groups, log.Append(records)
-}
-
 // abandon ends everything that waits, when the replica stops.
 func (e *engine) abandon() {
 	for _, g := range e.groups {
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"github.com/guavaford/guavaford/internal/wal"
+)
+
+// Metrics counts the work of a replica since it was opened.
+type Metrics struct {
+	// Events is the number of events that wait for the loop now.
+	Events int
+	// Proposals counts commands that this replica appended as a leader.
+	Proposals uint64
+	// Applied counts commands that were committed and executed.
+	Applied   uint64
+	Snapshots uint64
+	// Installed counts snapshots that came from a leader.
+	Installed uint64
+	// Batches, Messages and Bytes count what was sent to other replicas; Dropped counts messages
+	// that could not be delivered in time.
+	Batches  uint64
+	Messages uint64
+	Bytes    uint64
+	Dropped  uint64
+	Log      wal.Metrics
+}
+
+// Metrics returns the counts so far.
+func (r *Replica) Metrics() Metrics {
+	return Metrics{
+		Events:    len(r.events),
+		Proposals: r.engine.metrics.proposals.Load(),
+		Applied:   r.engine.metrics.applied.Load(),
+		Snapshots: r.engine.metrics.snapshots.Load(),
+		Installed: r.engine.metrics.installed.Load(),
+		Batches:   r.senders.batches.Load(),
+		Messages:  r.senders.messages.Load(),
+		Bytes:     r.senders.bytes.Load(),
+		Dropped:   r.senders.dropped.Load(),
+		Log:       r.log.Metrics(),
+	}
+}
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
 
@@ -33,31 +31,6 @@
 	at     time.Time
 }
 
-// progressState says how the leader sends to a replica.
-type progressState int
-
-const (
-	// probing: one message at a time until the logs are known to agree.
-	probing progressState = iota
-	// replicating: several messages in flight.
-	replicating
-	// transferring: a snapshot is on its way.
-	transferring
-)
-
-// progress is what the leader knows of another replica.
-type progress struct {
-	state    progressState
-	match    uint64 // synced there
-	next     uint64
-	paused   bool     // probing: a message is out
-	inFlight []uint64 // replicating: last index of each message that is out
-	acked    uint64   // latest round answered
-	heard    time.Time
-	commit   uint64 // commit index sent last
-	snapshot outgoingSnapshot
-}
-
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.cfg.ID
@@ -254,60 +227,6 @@
 	}
 }
 
-// hear notes that a replica answered.
-func (c *Core) hear(p *progress, round uint64) {
-	p.heard = c.now
-	if round > p.acked {
-		p.acked = round
-		c.confirmRounds()
-	}
-}
-
-// rejected steps back to where the logs may agree. Outdated rejections name indexes that the
-// replica has since acknowledged.
-func (c *Core) rejected(p *progress, hint uint64) {
-	if p.state == transferring || hint < p.match {
-		return
-	}
-	p.state = probing
-	p.paused = false
-	p.inFlight = nil
-	p.next = max(p.match+1, min(hint+1, c.log.last()+1))
-	c.lead.wantSend = true
-}
-
-// accepted notes that a replica has synced its log up to index.
-func (c *Core) accepted(p *progress, index uint64) {
-	if index < p.match {
-		return
-	}
-	p.match = index
-	for len(p.inFlight) > 0 && p.inFlight[0] <= index {
-		p.inFlight = p.inFlight[1:]
-	}
-	switch p.state {
-	case transferring:
-		if index < p.snapshot.index {
-			return
-		}
-		p.snapshot = outgoingSnapshot{}
-		p.state = replicating
-		p.next = index + 1
-	case probing:
-		if _, ok := c.log.term(index); !ok {
-			return // it needs a snapshot
-		}
-		p.state = replicating
-		p.paused = false
-		p.next = index + 1
-	default:
-		p.next = max(p.next, index+1)
-	}
-	if p.next <= c.log.last() {
-		c.lead.wantSend = true
-	}
-}
-
 // advanceCommit commits what a quorum has synced.
 func (c *Core) advanceCommit() {
 	var synced []uint64
@@ -357,48 +276,3 @@
 	}
 	c.send(&apiv1.RaftMessage{Kind: apiv1.RaftKind_RAFT_KIND_TIMEOUT_NOW, To: c.lead.transferTo})
 }
-
-// Peer is a member of the group as this replica sees it.
-type Peer struct {
-	Replica *apiv1.ReplicaInfo
-	// Match and Heard are known to the leader only.
-	Match uint64
-	Heard time.Time
-	// CaughtUp is true if the replica has synced everything committed and answers.
-	CaughtUp bool
-}
-
-// Peers lists the members in force.
-func (c *Core) Peers() []Peer {
-	var peers []Peer
-	for _, r := range c.config.current().Replicas {
-		peer := Peer{Replica: proto.CloneOf(r)}
-		if r.Id == c.cfg.ID {
-			peer.Match = c.log.stable
-			peer.Heard = c.now
-			peer.CaughtUp = true
-		} else if c.lead != nil {
-			p := c.lead.progress[r.Id]
-			peer.Match = p.match
-			peer.Heard = p.heard
-			peer.CaughtUp = p.state == replicating && p.match >= c.log.commit && c.now.Sub(p.heard) < c.cfg.Election
-		}
-		peers = append(peers, peer)
-	}
-	return peers
-}
-
-// Membership returns the membership in force. The caller must not modify it.
-func (c *Core) Membership() *apiv1.Membership {
-	return c.config.current()
-}
-
-// Indexes returns the ends of the log.
-func (c *Core) Indexes() (last, commit, applied uint64) {
-	return c.log.last(), c.log.commit, c.log.applied
-}
-
-// Settled reports whether this leader has committed an entry of its term and the latest membership.
-func (c *Core) Settled() bool {
-	return c.role == Leader && c.committedInTerm() && c.config.currentIndex() <= c.log.commit
-}
