--- a/examples/failover.sh
+++ b/examples/failover.sh
@@ -123,6 +123,7 @@
 stream2=$!
 (for n in $(seq 2 2 "$bookings"); do book "$n"; done) &
 stream3=$!
+pids+=("$stream1" "$stream2" "$stream3")
 sleep 1
 kill -KILL "${node_pid[${leader#n}]}"
 echo "killed $leader after $(wc -l <"$work/changed") changes and $(wc -l <"$work/booked") bookings"
