Let a target answer before it has read the whole request

When the header of an answer is written, net/http drops what is left of the request unless it is told that both run at the same time; the rest never reached a target that had begun to answer. The gateway enables full duplex before it reads a body.

--- a/internal/bench/target.go
+++ b/internal/bench/target.go
@@ -99,6 +99,8 @@
 
 // Echo answers each request with its body.
 func Echo(w http.ResponseWriter, r *http.Request) {
+	// Without it net/http drops what it has not read when the answer begins.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	if r.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 	}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -112,6 +112,9 @@
 		return dispatch.KeptBody(nil), nil
 	}
 	controller := http.NewResponseController(in.writer)
+	// A target may answer before it has read the whole request. Without full duplex net/http
+	// drops what was not read when the answer begins. HTTP/2 always works both ways.
+	_ = controller.EnableFullDuplex()
 	// Not every connection has read deadlines; the request's own deadline holds all the same.
 	_ = controller.SetReadDeadline(in.origin.Deadline)
 	body, err := dispatch.NewBody(in.request.ContentLength, http.MaxBytesReader(in.writer, in.request.Body, limit))
