Make room for an answer of known length at once

The spool of an answer that can be fetched again grew by doubling: two thirds of what a call of 1 MiB allocated.

--- a/internal/calltable/spool.go
+++ b/internal/calltable/spool.go
@@ -62,6 +62,7 @@
 	for {
 		s.mu.Lock()
 		if len(s.data)+len(p) <= KeptAnswerBytes {
+			s.reserve()
 			s.data = append(s.data, p...)
 			s.notify()
 			s.mu.Unlock()
@@ -86,6 +87,15 @@
 	}
 }
 
+// reserve makes room for the whole body at its first part, if its length was announced.
+// The caller holds mu.
+func (s *Spool) reserve() {
+	length := s.header.GetContentLength()
+	if s.data == nil && s.base == 0 && length > 0 && length <= KeptAnswerBytes {
+		s.data = make([]byte, 0, length)
+	}
+}
+
 // Close ends the body. A nil error says that it is whole.
 func (s *Spool) Close(err error, allowanceLeft int) {
 	s.mu.Lock()
