--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/memnet"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/vfs"
@@ -18,16 +19,19 @@
 
 // cluster runs whole replicas over an in-memory network in virtual time.
 type cluster struct {
-	t     *testing.T
-	net   *memnet.Network
-	names []string
-	hosts map[string]*testHost
-	next  uint64
+	t   *testing.T
+	net *memnet.Network
+	// origin is when the clocks of the hosts began to drift apart.
+	origin time.Time
+	names  []string
+	hosts  map[string]*testHost
+	next   uint64
 }
 
 // testHost is one host: its disk outlives its processes.
 type testHost struct {
 	name    string
+	drift   int64 // parts per million
 	fs      *vfs.Mem
 	replica *Replica
 	pool    *peer.Pool
@@ -38,14 +42,14 @@
 // inCluster runs a test with n replicas that have founded a cluster.
 func inCluster(t *testing.T, n int, fn func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, net: memnet.New(1), hosts: map[string]*testHost{}}
+		c := &cluster{t: t, net: memnet.New(1), hosts: map[string]*testHost{}, origin: time.Now()}
 		c.net.SetLatency(func(string, string) memnet.Link {
 			return memnet.Link{Delay: time.Millisecond, Jitter: time.Millisecond}
 		})
 		for i := range n {
 			name := fmt.Sprintf("host-%d", i+1)
 			c.names = append(c.names, name)
-			c.hosts[name] = &testHost{name: name, fs: vfs.NewMem()}
+			c.hosts[name] = &testHost{name: name, drift: int64(i-1) * 900, fs: vfs.NewMem()}
 		}
 		defer c.close()
 		for _, name := range c.names {
@@ -85,6 +89,7 @@
 		RateShards:      4,
 		RunShards:       3,
 		Seed:            c.next,
+		Clock:           clock.Drifting{Origin: c.origin, PPM: h.drift},
 	})
 	require.NoError(c.t, err)
 	// Small, so that snapshots, their transfer and rewrites come up.
--- a/internal/control/failure_test.go
+++ b/internal/control/failure_test.go
@@ -280,7 +280,7 @@
 			}
 			epoch, since, ok := h.replica.ownership.Owned(shard)
 			wait := h.replica.o.Rate.WithDefaults().TakeoverWait()
-			return ok, ok && (epoch == 1 || time.Since(since) >= wait)
+			return ok, ok && (epoch == 1 || h.replica.o.Clock.Now().Sub(since) >= wait)
 		}
 		watch := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
