--- a/internal/lab/cmd/measures/main.go
+++ b/internal/lab/cmd/measures/main.go
@@ -1,7 +1,8 @@
-// Command measures prints the table of scenarios in docs/MEASURES.md.
+// Command measures runs the scenarios and prints their table, or writes it into a page.
 package main
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"os"
@@ -14,6 +15,7 @@
 	product := flag.Bool("product", false, "leave the baselines out")
 	reasons := flag.Bool("reasons", false, "print why requests failed")
 	only := flag.String("only", "", "prefix of the scenarios to run")
+	page := flag.String("write", "", "page to write the tables into")
 	flag.Parse()
 	length, policies := lab.Full(), lab.Policies()
 	if *short {
@@ -22,12 +24,21 @@
 	if *product {
 		policies = policies[:1]
 	}
+	var tables bytes.Buffer
 	for _, d := range []func() *lab.Deployment{lab.Koperasi, lab.Verband} {
 		results := lab.Table(d, length, policies, *only)
-		fmt.Printf("\n## %s\n\n", d().Name)
-		lab.Write(os.Stdout, results)
+		fmt.Fprintf(&tables, "\n### %s\n\n", d().Name)
+		lab.Write(&tables, results)
 		if *reasons {
 			lab.WriteReasons(os.Stderr, results)
 		}
 	}
+	if *page == "" {
+		fmt.Print(tables.String())
+		return
+	}
+	if err := lab.ReplaceTables(*page, tables.Bytes()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 }
