Ask for admission until it is committed

Cause: a replica took itself for a member as soon as an admission was in its log. If the leader that proposed it lost the entry, nobody sent to the replica and it did not ask again; and a later leader could tell it that it had been removed, on which it stopped for good. Now only the committed membership counts for both. The new test fails with the membership in force and passes with the committed one.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -49,7 +49,7 @@
 	if number == 0 {
 		next = promotion(core.Peers(), nil)
 	} else {
-		next = convergence(core.Peers(), r.engine.groups[0].core.SnapshotAt().Membership)
+		next = convergence(core.Peers(), r.engine.groups[0].core.CommittedMembership())
 	}
 	if next == nil {
 		return
--- a/internal/control/failure_test.go
+++ b/internal/control/failure_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/peer"
@@ -424,6 +425,29 @@
 	})
 }
 
+// TestLostAdmissionIsAskedForAgain lets the leader that admitted a replica lose the admission.
+func TestLostAdmissionIsAskedForAgain(t *testing.T) {
+	w := newWorld(t, 3, 3, faultSet{})
+	founder := w.hosts[0].replica
+	joiner := w.hosts[1].replica
+	joiner.adopt(founder.log.Identity())
+	joiner.publish()
+	// What a joiner holds after an admission that was never committed: itself in an unapplied membership.
+	membership := &apiv1.Membership{Replicas: append(founder.view.Load().members, joiner.info())}
+	data, err := proto.Marshal(membership)
+	require.NoError(t, err)
+	joiner.engine.step(w.now, &apiv1.RaftMessage{
+		Kind: apiv1.RaftKind_RAFT_KIND_APPEND, From: 99, To: joiner.log.Identity().Replica, Term: 1,
+		Entries: []*apiv1.LogEntry{{Index: 1, Term: 1, Kind: apiv1.EntryKind_ENTRY_KIND_MEMBERSHIP, Data: data}},
+	})
+	require.NoError(t, joiner.engine.process())
+	joiner.publish()
+	require.False(t, joiner.view.Load().admitted)
+	joiner.removed()
+	require.NoError(t, joiner.failure, "a replica that was never admitted was not removed either")
+	w.until(10*time.Second, w.whole, "it is admitted after all")
+}
+
 func TestIdleTrafficIsSmall(t *testing.T) {
 	inCluster(t, 3, func(c *cluster) {
 		const nodes = 30
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -28,7 +28,7 @@
 	pause := enterPause
 	for sleep(ctx, pause/2+rand.N(pause/2)) {
 		v := r.view.Load()
-		if v.listed(r.info()) {
+		if v.admitted {
 			pause = memberPause
 			continue
 		}
@@ -41,14 +41,19 @@
 	}
 }
 
-// listed reports whether the membership names the replica with its present address.
-func (v *view) listed(info *apiv1.ReplicaInfo) bool {
-	for _, member := range v.members {
-		if member.Id == info.Id {
-			return member.Address == info.Address && member.DataCentre == info.DataCentre
-		}
+// admitted reports whether the committed membership names this replica as it is now. An admission that
+// is not committed may still be lost with the leader that proposed it.
+func (r *Replica) admitted() bool {
+	info := r.info()
+	member := find(r.engine.groups[0].core.CommittedMembership(), info.Id)
+	return member != nil && member.Address == info.Address && member.DataCentre == info.DataCentre
+}
+
+// removed ends this replica if it was a member; one that was never admitted goes on asking.
+func (r *Replica) removed() {
+	if find(r.engine.groups[0].core.CommittedMembership(), r.log.Identity().Replica) != nil {
+		r.fail(ErrRemoved)
 	}
-	return false
 }
 
 // knownAddresses lists where other replicas may be reached.
--- a/internal/control/network.go
+++ b/internal/control/network.go
@@ -134,7 +134,7 @@
 		return
 	}
 	if reply.Removed {
-		s.r.post(func(time.Time) { s.r.fail(ErrRemoved) })
+		s.r.post(func(time.Time) { s.r.removed() })
 	}
 }
 
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -10,6 +10,8 @@
 	groups   []groupView
 	// members of group 0 in force at this replica.
 	members []*apiv1.ReplicaInfo
+	// admitted is true once the committed membership names this replica under its present address.
+	admitted bool
 }
 
 // groupView is the leadership of one group as this replica knows it.
@@ -26,6 +28,7 @@
 	}
 	if len(r.engine.groups) > 0 {
 		next.members = r.engine.groups[0].core.Membership().Replicas
+		next.admitted = r.admitted()
 	}
 	if old := r.view.Load(); old == nil || !next.equal(old) {
 		r.view.Store(next)
@@ -33,7 +36,7 @@
 }
 
 func (v *view) equal(o *view) bool {
-	if v.identity != o.identity || len(v.groups) != len(o.groups) || len(v.members) != len(o.members) {
+	if v.identity != o.identity || v.admitted != o.admitted || len(v.groups) != len(o.groups) || len(v.members) != len(o.members) {
 		return false
 	}
 	for i := range v.groups {
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -186,7 +186,7 @@
 // admit does what joining does over the network.
 func (w *world) admit(h *worldHost) {
 	r := h.replica
-	if w.now.Before(h.nextJoin) || r.view.Load().listed(r.info()) {
+	if w.now.Before(h.nextJoin) || r.view.Load().admitted {
 		return
 	}
 	h.nextJoin = w.now.Add(200 * time.Millisecond)
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -43,6 +43,11 @@
 	return c.config.current()
 }
 
+// CommittedMembership returns the membership at the last applied index. The caller must not modify it.
+func (c *Core) CommittedMembership() *apiv1.Membership {
+	return c.config.at(c.log.applied)
+}
+
 // Indexes returns the ends of the log.
 func (c *Core) Indexes() (last, commit, applied uint64) {
 	return c.log.last(), c.log.commit, c.log.applied
