--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -1,10 +1,10 @@
 // Package board lists the sections of the blackboard of one node.
 //
 //	section        writer             readers
-//	Configuration  follow.Loop        gateway, gate, rate, node
-//	Freshness      follow.Loop        gateway, gate
+//	Configuration  follow.Loop        gateway, dispatch, policy, node
+//	Freshness      follow.Loop        gateway, node
 //	Registry       registry.Directory dispatch
-//	Placement      follow.Loop        rate, run records, control client
+//	Placement      follow.Loop        rate, run records
 package board
 
 import (
