--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -54,3 +54,25 @@
 	}
 	return sender
 }
+
+// setControlGauges shows the work of this host's replica, if it has one.
+func (p *Process) setControlGauges() {
+	if p.replica == nil {
+		return
+	}
+	gauge := func(name string, read func(control.Metrics) uint64) {
+		p.o.metrics.SetGauge("control_"+name, func() float64 { return float64(read(p.replica.Metrics())) })
+	}
+	gauge("events_waiting", func(m control.Metrics) uint64 { return uint64(m.Events) })
+	gauge("proposals", func(m control.Metrics) uint64 { return m.Proposals })
+	gauge("applied", func(m control.Metrics) uint64 { return m.Applied })
+	gauge("snapshots", func(m control.Metrics) uint64 { return m.Snapshots })
+	gauge("snapshots_installed", func(m control.Metrics) uint64 { return m.Installed })
+	gauge("batches_sent", func(m control.Metrics) uint64 { return m.Batches })
+	gauge("messages_sent", func(m control.Metrics) uint64 { return m.Messages })
+	gauge("messages_dropped", func(m control.Metrics) uint64 { return m.Dropped })
+	gauge("bytes_sent", func(m control.Metrics) uint64 { return m.Bytes })
+	gauge("log_syncs", func(m control.Metrics) uint64 { return m.Log.Syncs })
+	gauge("log_bytes", func(m control.Metrics) uint64 { return m.Log.Bytes })
+	gauge("log_rewrites", func(m control.Metrics) uint64 { return m.Log.Rewrites })
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -56,6 +56,7 @@
 	m.SetGauge("local_targets", func() float64 { return float64(len(p.gate.Loads())) })
 	m.SetGauge("admission_limit", func() float64 { return p.sumLoads(func(t operator.LocalTarget) int { return t.Limit }) })
 	m.SetGauge("queued", func() float64 { return p.sumLoads(func(t operator.LocalTarget) int { return t.Queued }) })
+	p.setControlGauges()
 	m.Publish()
 }
 
