--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -13,8 +13,10 @@
 const (
 	relayInterval = time.Second
 	// relayGap is the least time between two exchanges when there is news.
-	relayGap       = 100 * time.Millisecond
-	relayTimeout   = time.Second
+	relayGap     = 100 * time.Millisecond
+	relayTimeout = time.Second
+	// relayRounds bounds the messages of one exchange; a replica that is new takes two.
+	relayRounds    = 3
 	expireInterval = 200 * time.Millisecond
 )
 
@@ -141,10 +143,14 @@
 func (r *Replica) relayTo(ctx context.Context, member *apiv1.ReplicaInfo) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	message := r.relay.Outgoing(r.o.Clock.Now(), member.Node)
-	reply := &apiv1.RelayMessage{}
-	if err := peer.Unary(ctx, r.o.Pool, member.Address, apiv1.Method_METHOD_RELAY, message, reply); err != nil {
-		return
+	for range relayRounds {
+		message := r.relay.Outgoing(r.o.Clock.Now(), member.Node)
+		reply := &apiv1.RelayMessage{}
+		if err := peer.Unary(ctx, r.o.Pool, member.Address, apiv1.Method_METHOD_RELAY, message, reply); err != nil {
+			return
+		}
+		if !r.relay.Acknowledged(reply) {
+			return
+		}
 	}
-	r.relay.Acknowledged(reply)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -120,7 +120,7 @@
 func (f *Fleet) start(h *Host) (*node.Process, error) {
 	p, err := node.New(f.settingsOf(h), node.Dependencies{
 		Clock:      h.clock,
-		Log:        f.o.Log,
+		Log:        f.o.Log.With("on", h.Name),
 		FS:         h.FS,
 		Transport:  f.Net.Host(h.Name),
 		Targets:    roundTripper{h},
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -119,3 +120,16 @@
 
 // renewInterval is how often a target renews its announcement.
 const renewInterval = time.Second
+
+// Stop ends the process of the host as planned, within limit.
+func (h *Host) Stop(limit time.Duration) error {
+	p := h.Process()
+	if p == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := p.Stop(ctx)
+	h.take()
+	return err
+}
--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -188,10 +188,21 @@
 		PlacementVersion: l.o.Board.Placement.Load().GetVersion(),
 	}
 	l.o.Directory.Fill(req)
+	if !l.confirmed() {
+		// Until its configuration is confirmed the node would refuse what its targets are sent.
+		req.WaitNs = 0
+		return req
+	}
 	l.o.Local.Fill(req, l.announced, l.wantAnnounced)
 	return req
 }
 
+// confirmed reports whether the configuration was confirmed since the process started.
+func (l *Loop) confirmed() bool {
+	_, ok := l.o.Board.Freshness.Load().Age(l.o.Clock.Now())
+	return ok
+}
+
 // apply takes an answer over.
 func (l *Loop) apply(asked time.Time, req *apiv1.SyncRequest, resp *apiv1.SyncResponse) error {
 	l.announced = req.GetAnnouncedVersion()
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -52,6 +52,7 @@
 	var first error
 	for _, step := range []func(context.Context) error{
 		p.callers.Shutdown,
+		p.entries.wait,
 		p.peers.Shutdown,
 		p.targets.Shutdown,
 		p.operators.Shutdown,
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -106,6 +106,7 @@
 	targets   *http.Server
 	operators *http.Server
 
+	entries  entries
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
@@ -209,7 +210,7 @@
 		Metrics:    p.o.metrics,
 		Log:        p.o.Log,
 	})
-	p.callers = httpServer(gateway.NewCallers(entry))
+	p.callers = httpServer(p.entries.track(gateway.NewCallers(entry)))
 	p.targets = httpServer(gateway.NewTargets(entry, p.local))
 	p.operators = operator.NewServer(operator.NewHandler(p.service, p.token, p.o.Log, p))
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -51,6 +51,7 @@
 // publishMetrics shows counters, gauges and histograms by expvar.
 func (p *Process) publishMetrics() {
 	m := p.o.metrics
+	m.SetGauge("entries_in_flight", func() float64 { return float64(p.entries.running.Load()) })
 	m.SetGauge("revision", func() float64 { return float64(p.board.Configuration.Load().Revision) })
 	m.SetGauge("confirmed_age_ms", func() float64 { return float64(p.confirmedAge()) })
 	m.SetGauge("local_targets", func() float64 { return float64(len(p.gate.Loads())) })
--- a/internal/rate/account.go
+++ b/internal/rate/account.go
@@ -49,6 +49,8 @@
 	askAt int64
 	// forecastAt is when the owner's word was received.
 	forecastAt int64
+	// answeringSince is when the owner began to grant after a time in which it did not.
+	answeringSince int64
 	// reportWithin is how soon use should be reported while the bucket is scarce.
 	reportWithin int64
 	// hold is true when the burst allows a token to be held ahead of rare demand.
@@ -182,8 +184,12 @@
 	a.scarce = g.GetScarce()
 	a.share = g.GetShare()
 	a.reportWithin = g.GetReportWithinNs()
+	wasAnswering := a.answering(now)
 	a.forecastAt = now
 	a.starting = g.GetLeaseId() == 0 && g.GetRetryAfterNs() > 0
+	if !wasAnswering && !a.starting {
+		a.answeringSince = now
+	}
 	a.nextAt = now + g.GetRetryAfterNs()
 	a.clearAt = now + g.GetClearAfterNs()
 	a.known = int(sent.GetWaiting())
--- a/internal/rate/client.go
+++ b/internal/rate/client.go
@@ -71,7 +71,7 @@
 		return Charge{}, refusal
 	}
 	c.Wake()
-	return c.wait(ctx, l, ticket, min(deadline.Sub(now), c.cfg.MaxWait))
+	return c.wait(ctx, l, ticket, min(deadline.Sub(now), c.cfg.OwnerWait))
 }
 
 func (c *Client) wait(ctx context.Context, l *Lessee, ticket *Ticket, limit time.Duration) (Charge, *outcome.Refusal) {
--- a/internal/rate/config.go
+++ b/internal/rate/config.go
@@ -26,8 +26,10 @@
 	Horizon time.Duration
 	// HoldTime is how long after a request a node holds a token ahead if the burst allows it.
 	HoldTime time.Duration
-	// MaxWait bounds how long a request waits for a token.
+	// MaxWait bounds how long a request waits for a token while the owner answers.
 	MaxWait time.Duration
+	// OwnerWait bounds how long a request waits while the owner does not answer, or starts.
+	OwnerWait time.Duration
 	// OverloadWait replaces MaxWait for arrivals whose wait can be told, once the waiting list
 	// has not been empty for MaxWait.
 	OverloadWait time.Duration
@@ -48,6 +50,7 @@
 	setDuration(&c.Horizon, 150*time.Millisecond)
 	setDuration(&c.HoldTime, 2*time.Second)
 	setDuration(&c.MaxWait, 750*time.Millisecond)
+	setDuration(&c.OwnerWait, 2*time.Second)
 	setDuration(&c.OverloadWait, 100*time.Millisecond)
 	setDuration(&c.RequestTimeout, 100*time.Millisecond)
 	if c.DriftPPM == 0 {
--- a/internal/rate/lessee.go
+++ b/internal/rate/lessee.go
@@ -160,10 +160,10 @@
 	a := l.account(organisation)
 	defer l.changed(a)
 	at := l.since(now)
-	limit := min(l.since(deadline), at+int64(l.cfg.MaxWait))
+	limit := min(l.since(deadline), at+int64(l.cfg.OwnerWait))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	t := &Ticket{account: a, deadline: limit, done: make(chan result, 1)}
+	t := &Ticket{account: a, since: at, deadline: limit, done: make(chan result, 1)}
 	if len(a.waiting) == 0 {
 		if charge, ok := a.take(at); ok {
 			t.done <- result{charge: charge}
@@ -171,6 +171,9 @@
 		}
 	}
 	patience := a.patience(at, limit)
+	if !a.starting {
+		patience = min(patience, at+int64(l.cfg.MaxWait))
+	}
 	if expected, ok := a.expected(at, len(a.waiting)); ok && expected > patience {
 		return nil, a.refusal(at, expected)
 	}
--- a/internal/rate/waiting.go
+++ b/internal/rate/waiting.go
@@ -11,7 +11,9 @@
 
 // Ticket is the place of a waiting request in its account.
 type Ticket struct {
-	account  *account
+	account *account
+	// since is when the request began to wait, and deadline when it stops whatever happens.
+	since    int64
 	deadline int64
 	done     chan result
 }
@@ -77,12 +79,20 @@
 	return limit
 }
 
+// latest returns until when a waiting request can use a token.
+func (a *account) latest(t *Ticket) int64 {
+	if a.starting {
+		return t.deadline
+	}
+	return min(t.deadline, max(t.since, a.answeringSince)+int64(a.cfg.MaxWait))
+}
+
 // refuseHopeless refuses waiting requests that can't get a token before their deadline.
 func (a *account) refuseHopeless(now int64) {
 	kept := a.waiting[:0]
 	for _, t := range a.waiting {
 		at, ok := a.expected(now, len(kept))
-		if ok && at > t.deadline {
+		if ok && at > a.latest(t) {
 			a.resolve(t, result{refusal: a.refusal(now, at)})
 			continue
 		}
@@ -92,11 +102,22 @@
 	a.waiting = kept
 }
 
-// dropLate refuses waiting requests whose deadline has passed.
+// answering reports whether the owner has answered lately and grants tokens.
+func (a *account) answering(now int64) bool {
+	return !a.starting && now-a.forecastAt <= int64(a.cfg.MaxWait)
+}
+
+// late reports whether a request has waited long enough: MaxWait while the owner answers, and
+// until its deadline while the owner does not, since its successor then takes over.
+func (a *account) late(now int64, t *Ticket) bool {
+	return now >= t.deadline || (now >= a.latest(t) && a.answering(now))
+}
+
+// dropLate refuses waiting requests that have waited long enough.
 func (a *account) dropLate(now int64) {
 	kept := a.waiting[:0]
 	for _, t := range a.waiting {
-		if now >= t.deadline {
+		if a.late(now, t) {
 			a.resolve(t, result{refusal: a.lateRefusal(now)})
 			continue
 		}
--- a/internal/registry/exchange.go
+++ b/internal/registry/exchange.go
@@ -116,6 +116,11 @@
 		p.incarnation = m.Incarnation
 		p.upto = 0
 		p.echo = 0
+		if m.Incarnation > p.running {
+			// A replica that has just started knows nothing: it is told at once.
+			p.restarted(m.Incarnation)
+			r.wake()
+		}
 	}
 	touched := make(map[*node]struct{})
 	for _, record := range m.Records {
@@ -178,21 +183,30 @@
 	}
 }
 
-// Acknowledged takes over the reply to a message of Outgoing.
-func (r *Relay) Acknowledged(reply *apiv1.RelayMessage) {
+// restarted forgets what an earlier process of the other replica was told.
+func (p *replicaPeer) restarted(incarnation uint64) {
+	p.running = incarnation
+	p.held = 0
+	p.reading = 0
+	p.livenessAt = time.Time{}
+	p.greeted = false
+	p.greeting = false
+}
+
+// Acknowledged takes over the reply to a message of Outgoing. It returns true when the
+// other replica still lacks the liveness of all nodes, so that the next message is due at once.
+func (r *Relay) Acknowledged(reply *apiv1.RelayMessage) (again bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.peer(reply.Source)
 	if reply.Incarnation < p.running {
-		return
+		return false
 	}
 	if reply.Incarnation > p.running {
-		p.running = reply.Incarnation
-		p.reading = 0
-		p.greeted = false
-		p.greeting = false
+		p.restarted(reply.Incarnation)
 	}
 	p.greeted = p.greeted || p.greeting
 	p.held = reply.Held
 	p.reading = max(p.reading, reply.ReadingNs)
+	return !p.greeted
 }
