Judge targets by their own failures, keep the level of a resend, and try shed calls again

Change: the answer says when a target failed after one of its sub-calls was refused, and the picker takes that as no news; shed calls are tried again after a backoff within allowance and budget; the level is drawn from the Idempotency-Key where there is one.

--- a/internal/callctx/running.go
+++ b/internal/callctx/running.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
@@ -15,6 +16,8 @@
 	// Context ends when the call ends or is cancelled.
 	Context context.Context
 
+	refused atomic.Bool
+
 	mu         sync.Mutex
 	active     int
 	since      time.Time
@@ -36,6 +39,16 @@
 	return r.cutoff
 }
 
+// NoteRefusal notes that a sub-call was refused.
+func (r *Running) NoteRefusal() {
+	r.refused.Store(true)
+}
+
+// Refused reports whether a sub-call was refused.
+func (r *Running) Refused() bool {
+	return r.refused.Load()
+}
+
 // EnterSubCall notes that the target waits for a sub-call from now on.
 func (r *Running) EnterSubCall(now time.Time) {
 	r.mu.Lock()
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -21,6 +21,8 @@
 	service    *service
 	request    *Request
 	attempts   int
+	// rounds counts the waits before another try.
+	rounds int
 	// tried lists the targets of earlier attempts.
 	tried []string
 }
@@ -33,6 +35,9 @@
 	var last *gate.Answer
 	for {
 		choice, refusal := c.pick()
+		if refusal != nil && refusal.Code == outcome.Overloaded && last == nil && c.mayRepeat(refusal) && c.backoff(ctx, refusal) {
+			continue
+		}
 		if refusal != nil {
 			return c.noChoice(refusal, last)
 		}
@@ -107,7 +112,8 @@
 // backoff waits before the next attempt. It returns false when the deadline leaves no room.
 func (c *call) backoff(ctx context.Context, refusal *outcome.Refusal) bool {
 	remaining := c.request.Origin.Deadline.Sub(c.dispatcher.o.Clock.Now())
-	wait, ok := retry.Backoff(c.attempts, remaining, refusal.RetryAfter, rand.Float64)
+	c.rounds++
+	wait, ok := retry.Backoff(c.rounds, remaining, refusal.RetryAfter, rand.Float64)
 	if !ok {
 		return false
 	}
@@ -232,6 +238,9 @@
 func observationKind(answer *gate.Answer) route.Kind {
 	refusal := answer.Refusal()
 	switch {
+	case refusal == nil && answer.Header.GetPassedOn():
+		// What a deeper service refused says nothing about this target.
+		return route.Cancelled
 	case refusal == nil && answer.Header.GetStatus() >= http.StatusInternalServerError:
 		return route.Failure
 	case refusal == nil:
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -111,6 +111,7 @@
 		Headers:       headers.Response(resp.Header),
 		ContentLength: resp.ContentLength,
 		Load:          load,
+		PassedOn:      resp.StatusCode >= http.StatusInternalServerError && x.running.Refused(),
 	}
 }
 
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -8,6 +8,7 @@
 	"github.com/guavaford/guavaford/internal/callctx"
 	"github.com/guavaford/guavaford/internal/config"
 	"github.com/guavaford/guavaford/internal/dispatch"
+	"github.com/guavaford/guavaford/internal/headers"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/retry"
 	"github.com/guavaford/guavaford/internal/telemetry"
@@ -68,7 +69,7 @@
 		Class:        route.Class.Name,
 		Route:        route.Name,
 		Priority:     route.Class.Priority,
-		Level:        admission.LevelOf(route.Class.Priority, id),
+		Level:        admission.LevelOf(route.Class.Priority, levelID(r, id)),
 		Deadline:     o.Clock.Now().Add(available),
 		Allowance:    retry.NewAllowance(route.ExtraAttempts),
 	}
@@ -79,6 +80,15 @@
 	return in, c.identify(in, snapshot)
 }
 
+// levelID returns what the shedding level of a request is drawn from. A resend keeps the
+// level of the first request, so that what is shed stays shed.
+func levelID(r *http.Request, id string) string {
+	if key := r.Header.Get(headers.IdempotencyKey); key != "" {
+		return key
+	}
+	return id
+}
+
 // identify fills in the organisation whose key came with the request.
 func (c *Callers) identify(in *inbound, snapshot *config.Snapshot) *outcome.Refusal {
 	proof, refusal := c.entry.o.Keyring.authenticate(in.request)
--- a/internal/gateway/subcalls.go
+++ b/internal/gateway/subcalls.go
@@ -49,7 +49,11 @@
 	defer stop()
 	running.EnterSubCall(o.Clock.Now())
 	defer func() { running.LeaveSubCall(o.Clock.Now()) }()
-	if !s.entry.write(in, s.entry.serve(ctx, in)) {
+	result := s.entry.serve(ctx, in)
+	if result.Refusal() != nil {
+		running.NoteRefusal()
+	}
+	if !s.entry.write(in, result) {
 		panic(http.ErrAbortHandler)
 	}
 }
