Tell the clock of a restarted replica from that of its former process

Replicas relate the age of a node to a reading of the receiver's clock that the message echoes. Readings count from the start of a process, and a peer that had not yet heard of the restart echoed one of the former process. The restarted replica dated nodes into the future, so that dead ones stayed shown, and refused the smaller true echoes after it, so that nodes heard only by others stayed hidden, both for as long as the former process had run. The message now names the process whose clock it echoes. TestRestartedReplicaIgnoresEchoesOfItsFormerProcess fails without the change (no target is shown) and passes with it; go test -race ./internal/registry: ok.

--- a/internal/registry/exchange.go
+++ b/internal/registry/exchange.go
@@ -54,12 +54,13 @@
 	// The first message brings no liveness: it could not be told from a late one.
 	withLiveness := p.reading != 0 && now.Sub(p.livenessAt) >= livenessInterval
 	m := &apiv1.RelayMessage{
-		Source:      r.options.Node,
-		Incarnation: r.options.Incarnation,
-		Base:        p.held,
-		Upto:        r.position,
-		EchoNs:      p.reading,
-		Warm:        r.warm && withLiveness,
+		Source:          r.options.Node,
+		Incarnation:     r.options.Incarnation,
+		Base:            p.held,
+		Upto:            r.position,
+		EchoNs:          p.reading,
+		EchoIncarnation: p.running,
+		Warm:            r.warm && withLiveness,
 	}
 	for _, n := range r.nodes {
 		if now.Sub(n.heard) > relayUntil {
@@ -148,9 +149,9 @@
 // mergeLiveness takes over when nodes were heard. The message was built after
 // this replica's own reading that it echoes, so a node with age a lived at the
 // reading minus a at least, however late the message is. It returns false when
-// the message is too old to tell.
+// the message is too old to tell, or echoes an earlier process of this replica.
 func (r *Relay) mergeLiveness(now time.Time, m *apiv1.RelayMessage, p *replicaPeer, touched map[*node]struct{}) bool {
-	if m.EchoNs == 0 || m.EchoNs < p.echo {
+	if m.EchoIncarnation != r.options.Incarnation || m.EchoNs == 0 || m.EchoNs < p.echo {
 		return false
 	}
 	p.echo = m.EchoNs
--- a/internal/registry/relay_test.go
+++ b/internal/registry/relay_test.go
@@ -270,6 +270,33 @@
 	}
 }
 
+// TestRestartedReplicaIgnoresEchoesOfItsFormerProcess restarts a replica whose peer still
+// echoes a clock reading of the former process, far ahead of the new one's clock.
+func TestRestartedReplicaIgnoresEchoesOfItsFormerProcess(t *testing.T) {
+	stays, dies := newHost("stays", 10), newHost("dies", 10)
+	stays.announce(t, epoch, "t", "jadual")
+	dies.announce(t, epoch, "t", "jadual")
+	f := newFleet(stays, dies)
+	f.run(5 * time.Minute)
+	f.a = NewRelay(RelayOptions{Node: "a", Incarnation: 2})
+	for range 3 {
+		for _, h := range f.hosts {
+			h.heartbeat(f.now, f.b)
+		}
+		exchange(f.now, f.b, f.a)
+		f.now = f.now.Add(time.Second)
+	}
+	require.Equal(t, []string{"dies/t READY", "stays/t READY"}, names(f.a, "jadual"))
+	for range 10 {
+		stays.heartbeat(f.now, f.b)
+		exchange(f.now, f.b, f.a)
+		f.a.Expire(f.now)
+		f.b.Expire(f.now)
+		f.now = f.now.Add(time.Second)
+	}
+	f.requireBoth(t, "jadual", "stays/t READY")
+}
+
 // TestDirectoryKeepsItsViewThroughARestartedReplica moves a node to a replica
 // that knows only a part of the fleet yet.
 func TestDirectoryKeepsItsViewThroughARestartedReplica(t *testing.T) {
