--- a/internal/node/entries.go
+++ b/internal/node/entries.go
@@ -9,7 +9,8 @@
 
 // entries counts the requests of callers that are under way at this node.
 type entries struct {
-	running atomic.Int64
+	running  atomic.Int64
+	stopping atomic.Bool
 }
 
 // track counts the requests that a handler serves.
@@ -17,6 +18,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.running.Add(1)
 		defer e.running.Add(-1)
+		if e.stopping.Load() {
+			// The caller opens its next connection elsewhere; this one is idle from here on.
+			w.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(w, r)
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,7 @@
 
 // Stop ends the process without cutting a request.
 func (p *Process) Stop(ctx context.Context) error {
-	p.stopping.Store(true)
+	p.entries.stopping.Store(true)
 	p.loop.Leave()
 	sleep(ctx, heardTime)
 	if p.replica != nil {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +35,7 @@
 	callersIdleTimeout = 2 * time.Minute
 	targetDialTimeout  = time.Second
 	targetKeepAlive    = 5 * time.Second
+	callersKeepAlive   = 15 * time.Second
 	targetIdleTimeout  = 30 * time.Second
 	targetIdleConns    = 256
 )
@@ -70,7 +70,10 @@
 		d.Targets = targetTransport()
 	}
 	if d.ListenHTTP == nil {
-		d.ListenHTTP = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+		listener := net.ListenConfig{KeepAlive: callersKeepAlive, Control: limitUnacknowledged}
+		d.ListenHTTP = func(address string) (net.Listener, error) {
+			return listener.Listen(context.Background(), "tcp", address)
+		}
 	}
 	return d
 }
@@ -106,10 +109,9 @@
 	targets   *http.Server
 	operators *http.Server
 
-	entries  entries
-	stopping atomic.Bool
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
+	entries entries
+	cancel  context.CancelFunc
+	running sync.WaitGroup
 	// failed receives the first error of a part that must not end.
 	failed chan error
 }
@@ -236,7 +238,7 @@
 
 // targetTransport returns the HTTP client side towards targets.
 func targetTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: targetDialTimeout, KeepAlive: targetKeepAlive}
+	dialer := &net.Dialer{Timeout: targetDialTimeout, KeepAlive: targetKeepAlive, Control: limitUnacknowledged}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -20,7 +20,7 @@
 		Incarnation:    p.o.identity.Incarnation,
 		Revision:       p.board.Configuration.Load().Revision,
 		ConfirmedAgeMS: p.confirmedAge(),
-		Stopping:       p.stopping.Load(),
+		Stopping:       p.entries.stopping.Load(),
 	}
 	for _, t := range p.gate.Loads() {
 		s.Targets = append(s.Targets, operator.LocalTarget{
