--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -141,6 +141,8 @@
 	for _, p := range r.engine.groups[0].core.Peers() {
 		switch {
 		case p.Replica.Learner:
+		case r.relay.Leaving(p.Replica.Node):
+			// Its shards move while it still serves, so that nobody waits for its silence.
 		case p.Replica.Id == r.log.Identity().Replica:
 			live = append(live, candidate{p.Replica, r.o.Identity.Incarnation})
 		case now.Sub(p.Heard) < replicaTimeout:
--- a/internal/fleet/caller.go
+++ b/internal/fleet/caller.go
@@ -63,7 +63,7 @@
 // Call makes a request at the callers' address of the host.
 func (h *Host) Call(req Request) Reply {
 	p := h.Process()
-	if p == nil {
+	if p == nil || !h.takesCallers() {
 		return Reply{Down: true}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), req.Timeout)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -124,7 +124,7 @@
 		FS:         h.FS,
 		Transport:  f.Net.Host(h.Name),
 		Targets:    roundTripper{h},
-		ListenHTTP: listenNowhere,
+		ListenHTTP: h.listen,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -8,6 +8,7 @@
 
 	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/node"
+	"github.com/guavaford/guavaford/internal/settings"
 	"github.com/guavaford/guavaford/internal/vfs"
 )
 
@@ -24,6 +25,8 @@
 	mu      sync.Mutex
 	process *node.Process
 	targets map[string]*Target
+	// callers is the listener of the callers' address.
+	callers *idleListener
 }
 
 // Start starts the process of the host unless one runs.
@@ -101,9 +104,30 @@
 	closed chan struct{}
 }
 
-// listenNowhere returns a listener that accepts nothing until it is closed.
-func listenNowhere(string) (net.Listener, error) {
-	return &idleListener{closed: make(chan struct{})}, nil
+// listen opens an address of the host. Requests reach its handler while it is open.
+func (h *Host) listen(address string) (net.Listener, error) {
+	l := &idleListener{closed: make(chan struct{})}
+	if address == settings.Default().CallersAddress {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.callers = l
+	}
+	return l, nil
+}
+
+// takesCallers reports whether the callers' address is open.
+func (h *Host) takesCallers() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.callers == nil {
+		return false
+	}
+	select {
+	case <-h.callers.closed:
+		return false
+	default:
+		return true
+	}
 }
 
 func (l *idleListener) Accept() (net.Conn, error) {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/admission"
@@ -249,6 +250,8 @@
 		r := &outcome.Refusal{Code: outcome.OutcomeUnknown, Ran: outcome.RanUnknown, Detail: "the caller stopped waiting for the answer"}
 		return refuse(h, r, nil)
 	}
+	// Several readers of one answer send it on at the same time, each under its own header.
+	header = proto.CloneOf(header)
 	if header.GetRefusal() != nil {
 		left := spool.AllowanceLeft()
 		return &Answer{Header: header, AllowanceLeft: func() (int, bool) { return left, true }}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,10 +58,10 @@
 func (p *Process) Stop(ctx context.Context) error {
 	p.entries.stopping.Store(true)
 	p.loop.Leave()
-	sleep(ctx, heardTime)
 	if p.replica != nil {
 		p.replica.TransferLeadership(ctx)
 	}
+	sleep(ctx, heardTime)
 	p.gate.Close()
 	err := p.shutdownServers(ctx)
 	p.runs.Wait()
--- a/internal/registry/relay.go
+++ b/internal/registry/relay.go
@@ -446,6 +446,14 @@
 	return nodes
 }
 
+// Leaving reports whether a node has said that it is about to stop.
+func (r *Relay) Leaving(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.nodes[name]
+	return n != nil && n.leaving
+}
+
 // Targets returns the number of shown targets of each service.
 func (r *Relay) Targets() map[string]int {
 	r.mu.Lock()
