Export the leased rate tokens as a gauge

Cause: leases were visible in the status only; operators watch gauges. Conclusion: limits, leases and revisions are gauges.

--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -56,6 +56,7 @@
 	m.SetGauge("confirmed_age_ms", func() float64 { return float64(p.confirmedAge()) })
 	m.SetGauge("local_targets", func() float64 { return float64(len(p.gate.Loads())) })
 	m.SetGauge("admission_limit", func() float64 { return p.sumLoads(func(t operator.LocalTarget) int { return t.Limit }) })
+	m.SetGauge("leased_tokens", p.leasedTokens)
 	m.SetGauge("queued", func() float64 { return p.sumLoads(func(t operator.LocalTarget) int { return t.Queued }) })
 	p.setControlGauges()
 	m.Publish()
@@ -108,3 +109,12 @@
 
 // Configuration returns the configuration in force at the node.
 func (p *Process) Configuration() *board.Configuration { return p.board.Configuration.Load() }
+
+// leasedTokens returns the rate tokens that this node holds on lease for all organisations.
+func (p *Process) leasedTokens() float64 {
+	sum := 0.0
+	for _, h := range p.rates.Holdings() {
+		sum += float64(h.Tokens)
+	}
+	return sum
+}
