Run every test without the race detector too, and hold rate owners to what must not overlap

TestRateShardsHaveOneOwner failed in 3 to 4 of 80 runs because it forbade that a successor is appointed while the former owner still grants, which the design allows: the successor waits. Conclusion: the check is about tokens now, and stricter there.

--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,10 @@
 build:
 	CGO_ENABLED=1 go build -o bin/guavaford ./cmd/guavaford
 
-# Everything under the race detector with few seeds of the fleet tests, then all seeds without it.
+# Everything with all seeds, then under the race detector with few seeds of the fleet tests.
 test:
+	CGO_ENABLED=1 go test -timeout 20m ./...
 	CGO_ENABLED=1 go test -race -short -timeout 20m ./...
-	CGO_ENABLED=1 go test -timeout 20m ./internal/fleet
 
 lint:
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$unformatted" || { echo "gofmt: $$unformatted"; exit 1; }
--- a/internal/control/failure_test.go
+++ b/internal/control/failure_test.go
@@ -14,6 +14,7 @@
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/rate"
 	"github.com/guavaford/guavaford/internal/vfs"
 )
 
@@ -283,20 +284,30 @@
 			wait := h.replica.o.Rate.WithDefaults().TakeoverWait()
 			return ok, ok && (epoch == 1 || h.replica.o.Clock.Now().Sub(since) >= wait)
 		}
+		// A former owner may grant to the end of its lease while its successor waits. The
+		// successor begins only when the tokens that the former one granted last have expired.
+		ttl := rate.Config{}.WithDefaults().LeaseTTL
+		type grant struct {
+			name string
+			at   time.Time
+		}
+		last := map[uint32]grant{}
 		watch := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 				for shard := range uint32(4) {
-					owners, grants := 0, 0
+					grants := 0
 					for _, name := range c.names {
-						o, g := granting(name, shard)
-						if o {
-							owners++
+						_, g := granting(name, shard)
+						if !g {
+							continue
 						}
-						if g {
-							grants++
+						grants++
+						if before := last[shard]; before.name != "" && before.name != name {
+							require.GreaterOrEqual(t, time.Since(before.at), ttl, "shard %d: %s grants so soon after %s", shard, name, before.name)
 						}
+						last[shard] = grant{name, time.Now()}
 					}
-					require.False(t, grants > 0 && owners > 1, "shard %d has %d owners, %d of which grant", shard, owners, grants)
+					require.LessOrEqual(t, grants, 1, "shard %d has several owners that grant", shard)
 				}
 			}
 		}
