Test the runs of an Idempotency-Key at a node

Cause: the gateway had no test of its own; resends, joins, lost claims and long answers were covered only through whole nodes. Change: tests on fakes of the records, the dispatcher and other nodes, in virtual time. Conclusion: fifty resends make one claim and one run; a claim of a restarted node is answered at once.

--- /dev/null
+++ b/internal/gateway/runs_test.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/callctx"
+	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/dispatch"
+	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/retry"
+	"github.com/guavaford/guavaford/internal/telemetry"
+)
+
+// records is a run-record table of one key at a time.
+type records struct {
+	mu     sync.Mutex
+	claim  *apiv1.RunClaim
+	finish *apiv1.RunFinish
+	lost   bool
+	claims int
+	err    error
+}
+
+func (r *records) Claim(_ context.Context, c *apiv1.RunClaim) (*apiv1.RunRecord, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.claims++
+	switch {
+	case r.err != nil:
+		return nil, r.err
+	case r.lost:
+		return &apiv1.RunRecord{State: apiv1.RunState_RUN_STATE_LOST}, nil
+	case r.finish != nil:
+		return &apiv1.RunRecord{State: apiv1.RunState_RUN_STATE_FINISHED, Finish: r.finish}, nil
+	case r.claim != nil:
+		return &apiv1.RunRecord{State: apiv1.RunState_RUN_STATE_RUNNING, Claim: r.claim}, nil
+	}
+	r.claim = c
+	return &apiv1.RunRecord{State: apiv1.RunState_RUN_STATE_CLAIMED}, nil
+}
+
+func (r *records) Finish(_ context.Context, f *apiv1.RunFinish) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f.GetRan() == apiv1.Ran_RAN_NO {
+		r.claim = nil
+		return nil
+	}
+	r.finish = f
+	return nil
+}
+
+func (r *records) DeclareLost(context.Context, *apiv1.RunClaim) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = true
+	return nil
+}
+
+func (r *records) Wait()  {}
+func (r *records) Close() {}
+
+// nodes answers for the incarnation of another node.
+type nodes struct {
+	incarnation uint64
+	err         error
+}
+
+func (n nodes) Incarnation(context.Context, string) (uint64, error) { return n.incarnation, n.err }
+
+// booker is a dispatcher whose bookings take a second.
+type booker struct {
+	mu   sync.Mutex
+	runs int
+	next *dispatch.Result
+}
+
+func (b *booker) Do(ctx context.Context, _ *dispatch.Request) *dispatch.Result {
+	b.mu.Lock()
+	b.runs++
+	next := b.next
+	b.mu.Unlock()
+	clock.Sleep(ctx, time.Second)
+	if next != nil {
+		return next
+	}
+	return dispatch.Recorded(201, nil, []byte("booked"))
+}
+
+// fixture is one node's Runs on fakes.
+type fixture struct {
+	*Runs
+	records *records
+	booker  *booker
+}
+
+func inFixture(t *testing.T, n nodes, test func(t *testing.T, f *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{records: &records{}, booker: &booker{}}
+		f.Runs = NewRuns(RunsOptions{
+			Identity:   peer.Identity{Node: "here", Incarnation: 1},
+			Records:    f.records,
+			Nodes:      n,
+			Dispatcher: f.booker,
+			Clock:      clock.System{},
+			Metrics:    telemetry.NewMetrics(),
+			Log:        telemetry.Discard(),
+		})
+		test(t, f)
+		f.Wait()
+	})
+}
+
+// send makes a request with the key "k".
+func (f *fixture) send(ctx context.Context, body string) (status uint32, text string, refusal *outcome.Refusal) {
+	result := f.Do(ctx, "k", &dispatch.Request{
+		Origin:  &callctx.Origin{Organisation: "court", Deadline: time.Now().Add(5 * time.Second), Allowance: retry.NewAllowance(3)},
+		Service: "bookings",
+		Method:  "POST",
+		Path:    "/b",
+		Body:    dispatch.KeptBody([]byte(body)),
+	})
+	if refusal := result.Refusal(); refusal != nil {
+		return 0, "", refusal
+	}
+	defer result.Body.Close()
+	data, _ := io.ReadAll(result.Body)
+	return result.Header.GetStatus(), string(data), nil
+}
+
+func TestResendsShareOneRun(t *testing.T) {
+	inFixture(t, nodes{}, func(t *testing.T, f *fixture) {
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() {
+				status, body, _ := f.send(t.Context(), "a")
+				require.Equal(t, uint32(201), status)
+				require.Equal(t, "booked", body)
+			})
+		}
+		wg.Wait()
+		require.Equal(t, 1, f.booker.runs)
+		require.Equal(t, 1, f.records.claims, "resends at one node share its claim")
+		f.Wait()
+		status, _, _ := f.send(t.Context(), "a")
+		require.Equal(t, uint32(201), status)
+		require.Equal(t, 1, f.booker.runs)
+	})
+}
+
+func TestCallerMayLeaveItsRun(t *testing.T) {
+	inFixture(t, nodes{}, func(t *testing.T, f *fixture) {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, _, refusal := f.send(ctx, "a")
+		require.Equal(t, outcome.RanUnknown, refusal.Ran)
+		status, _, _ := f.send(t.Context(), "a")
+		require.Equal(t, uint32(201), status)
+		require.Equal(t, 1, f.booker.runs)
+	})
+}
+
+func TestKeyOfAnotherBody(t *testing.T) {
+	inFixture(t, nodes{}, func(t *testing.T, f *fixture) {
+		go f.send(t.Context(), "a")
+		synctest.Wait()
+		_, _, refusal := f.send(t.Context(), "b")
+		require.Equal(t, outcome.IdempotencyReused, refusal.Code)
+		require.Equal(t, outcome.RanNo, refusal.Ran)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+func TestRefusedRunFreesItsKey(t *testing.T) {
+	inFixture(t, nodes{}, func(t *testing.T, f *fixture) {
+		f.booker.next = dispatch.Refused(outcome.NotRun(outcome.Overloaded, time.Second, "busy"))
+		_, _, refusal := f.send(t.Context(), "a")
+		require.Equal(t, outcome.Overloaded, refusal.Code)
+		f.Wait()
+		f.booker.next = nil
+		status, _, _ := f.send(t.Context(), "a")
+		require.Equal(t, uint32(201), status)
+	})
+}
+
+// TestClaimOfARestartedNode finds the claim of a process that no longer runs.
+func TestClaimOfARestartedNode(t *testing.T) {
+	inFixture(t, nodes{incarnation: 8}, func(t *testing.T, f *fixture) {
+		f.records.claim = &apiv1.RunClaim{Node: "there", Incarnation: 7}
+		start := time.Now()
+		_, _, refusal := f.send(t.Context(), "a")
+		require.Equal(t, outcome.OutcomeUnknown, refusal.Code)
+		require.Less(t, time.Since(start), time.Second, "not held back until the deadline")
+		require.Zero(t, f.booker.runs)
+	})
+}
+
+func TestRecordsAway(t *testing.T) {
+	inFixture(t, nodes{}, func(t *testing.T, f *fixture) {
+		f.records.err = errors.New("no quorum")
+		_, _, refusal := f.send(t.Context(), "a")
+		require.Equal(t, outcome.RunRecordsAway, refusal.Code)
+		require.Equal(t, outcome.RanNo, refusal.Ran)
+		require.Zero(t, f.booker.runs)
+	})
+}
+
+// TestLongAnswerStreams passes on an answer that is too long for a record.
+func TestLongAnswerStreams(t *testing.T) {
+	inFixture(t, nodes{}, func(t *testing.T, f *fixture) {
+		long := strings.Repeat("x", 3*maxRecordedBytes)
+		f.booker.next = dispatch.Recorded(200, nil, []byte(long))
+		_, body, _ := f.send(t.Context(), "a")
+		require.Equal(t, long, body)
+		f.Wait()
+		_, _, refusal := f.send(t.Context(), "a")
+		require.Equal(t, outcome.AnswerTooLarge, refusal.Code)
+		require.Equal(t, outcome.RanYes, refusal.Ran)
+	})
+}
