--- a/internal/rate/config.go
+++ b/internal/rate/config.go
@@ -42,7 +42,7 @@
 // WithDefaults returns the configuration with its zero fields filled in.
 func (c Config) WithDefaults() Config {
 	setDuration(&c.LeaseTTL, 600*time.Millisecond)
-	setDuration(&c.OwnerLease, 500*time.Millisecond)
+	setDuration(&c.OwnerLease, 300*time.Millisecond)
 	setDuration(&c.DriftSlack, time.Millisecond)
 	setDuration(&c.Interval, 100*time.Millisecond)
 	setDuration(&c.IdleInterval, 300*time.Millisecond)
