--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -38,7 +38,7 @@
 	return &flights{all: make(map[flightKey]*flight)}
 }
 
-// join returns the flight of a key. leads is true when the caller is the first and must land it.
+// join returns the flight of a key. leads is true when the caller is the first and must complete it.
 func (f *flights) join(key flightKey, digest []byte) (one *flight, leads bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -50,8 +50,8 @@
 	return one, true
 }
 
-// land ends a flight; those who wait for it read its outcome.
-func (f *flights) land(key flightKey, one *flight) {
+// complete ends a flight; those who wait for it read its outcome.
+func (f *flights) complete(key flightKey, one *flight) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.all, key)
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -159,7 +159,7 @@
 	if refusal == nil && record.GetState() == apiv1.RunState_RUN_STATE_CLAIMED {
 		return r.run(ctx, key, one, claim, req)
 	}
-	defer r.flights.land(key, one)
+	defer r.flights.complete(key, one)
 	if refusal != nil {
 		return dispatch.Refused(refusal)
 	}
@@ -277,7 +277,7 @@
 		rest := r.capture(claim, one, result)
 		r.deliver(ctx, answers, result, rest)
 		finish := one.finish
-		r.flights.land(key, one)
+		r.flights.complete(key, one)
 		r.finish(finish)
 	}()
 	select {
