--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -32,9 +32,9 @@
 
 # Waits until a command succeeds, for at most ten seconds.
 eventually() {
-  for _ in $(seq 100); do
+  for _ in $(seq 200); do
     if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
+    sleep 0.05
   done
   return 1
 }
@@ -89,11 +89,9 @@
 cat "$work/body"; echo
 
 begin "refuse a call over rate"
-over=0
-for _ in $(seq 8); do
-  if [ "$(status_of -H "Authorization: Bearer $small" -H "Guavaford-Timeout-Ms: 50" "http://$callers/hearings/1")" = 429 ]; then over=1; break; fi
-done
-[ "$over" = 1 ]
+# The owner of a new organisation's rate may still start; until then requests are refused as rate-unavailable.
+over_rate() { [ "$(status_of -H "Authorization: Bearer $small" -H "Guavaford-Timeout-Ms: 50" "http://$callers/hearings/1")" = 429 ]; }
+eventually over_rate
 grep -q '"code":"rate-exceeded"' "$work/body"
 grep -q '"ran":"no"' "$work/body"
 cat "$work/body"; echo
