--- /dev/null
+++ b/internal/clock/sleep.go
@@ -0,0 +1,18 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d. It returns false when ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/peer"
 )
 
@@ -166,7 +167,7 @@
 	answered := false
 	cause := ErrNoReplica
 	for i, address := range c.candidates(time.Now()) {
-		if i > 0 && !sleep(ctx, c.jitter()) {
+		if i > 0 && !clock.Sleep(ctx, c.jitter()) {
 			break
 		}
 		response := Resp(new(T))
--- a/internal/control/confirm.go
+++ b/internal/control/confirm.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/store"
 )
 
@@ -74,7 +75,7 @@
 		case <-c.kick:
 		}
 		c.execute(c.take())
-		if !sleep(ctx, confirmPause) {
+		if !clock.Sleep(ctx, confirmPause) {
 			return
 		}
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/replica"
 )
@@ -26,7 +27,7 @@
 // the membership shows it under its present address.
 func (r *Replica) keepMembership(ctx context.Context) {
 	pause := enterPause
-	for sleep(ctx, pause/2+rand.N(pause/2)) {
+	for clock.Sleep(ctx, pause/2+rand.N(pause/2)) {
 		v := r.view.Load()
 		if v.admitted {
 			pause = memberPause
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/config"
 	"github.com/guavaford/guavaford/internal/store"
 )
@@ -90,7 +91,7 @@
 
 // keepOwnership renews the confirmation while this replica owns a shard.
 func (r *Replica) keepOwnership(ctx context.Context) {
-	for sleep(ctx, ownershipRenewal) {
+	for clock.Sleep(ctx, ownershipRenewal) {
 		for _, owner := range r.store.Head().Load().Owners {
 			if r.ownership.own(owner) {
 				r.confirmer.wait(ctx)
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/runrecord"
 )
@@ -43,7 +44,7 @@
 		default:
 			return response, nil
 		}
-		if request.Hops > 0 || !sleep(ctx, proposePause) {
+		if request.Hops > 0 || !clock.Sleep(ctx, proposePause) {
 			if written {
 				response = proposeResult(apiv1.ChangeResult_CHANGE_RESULT_UNKNOWN)
 			}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -35,6 +35,7 @@
 	"github.com/pkg/errors"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/rate"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/runrecord"
@@ -203,7 +204,7 @@
 		if !led || len(v.members) < 2 {
 			return
 		}
-		if !sleep(ctx, tickInterval) {
+		if !clock.Sleep(ctx, tickInterval) {
 			return
 		}
 	}
@@ -224,15 +225,3 @@
 		}
 	}
 }
-
-// sleep waits for d; false means that ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/replica"
 )
@@ -121,7 +122,7 @@
 		if !news && now.Sub(last) < relayInterval {
 			continue
 		}
-		if gap := relayGap - now.Sub(last); gap > 0 && !sleep(ctx, gap) {
+		if gap := relayGap - now.Sub(last); gap > 0 && !clock.Sleep(ctx, gap) {
 			return
 		}
 		last = r.o.Clock.Now()
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/gate"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/registry"
@@ -117,14 +118,7 @@
 	if !ok {
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, wait)
 }
 
 // attempt sends the request to one target and waits for the header of the answer.
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/gate"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/peer"
@@ -75,7 +76,7 @@
 	for d.o.Clock.Now().Before(until) && ctx.Err() == nil {
 		resp, err := c.fence(ctx, target, h)
 		if err != nil {
-			pause(ctx, fenceInterval)
+			clock.Sleep(ctx, fenceInterval)
 			continue
 		}
 		if resp.GetIncarnation() != target.Incarnation {
@@ -90,7 +91,7 @@
 				return c.guard(ctx, target, h, answer)
 			}
 			until = d.o.Clock.Now().Add(unknownAfter)
-			pause(ctx, fenceInterval)
+			clock.Sleep(ctx, fenceInterval)
 		default:
 			return c.unknown(h, "the node beside the target has no record of the call")
 		}
@@ -111,16 +112,6 @@
 	})
 }
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // guard makes the body of a non-idempotent call's answer survive the loss of its connection.
 func (c *call) guard(ctx context.Context, target *registry.Target, h *apiv1.CallHeader, answer *gate.Answer) *gate.Answer {
 	if h.GetIdempotent() || answer.Body == nil {
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/headers"
 )
 
@@ -47,7 +48,7 @@
 		defer t.done.Done()
 		for ctx.Err() == nil {
 			t.announce("ready")
-			pause(ctx, renewInterval)
+			clock.Sleep(ctx, renewInterval)
 		}
 	}()
 }
@@ -153,7 +154,7 @@
 			return answer(r, http.StatusBadGateway, w.Body.Bytes()), nil
 		}
 	}
-	pause(r.Context(), t.ServiceTime)
+	clock.Sleep(r.Context(), t.ServiceTime)
 	if err := r.Context().Err(); err != nil {
 		return nil, err
 	}
@@ -173,13 +174,3 @@
 		Request:       r,
 	}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -96,21 +96,11 @@
 			continue
 		}
 		l.o.Log.Warn("heartbeat failed", "err", err)
-		pause(ctx, backoff/2+rand.N(backoff/2))
+		clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // errInterrupted ends a heartbeat that waits for news when the node has news itself.
 var errInterrupted = errors.New("heartbeat interrupted")
 
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -184,7 +184,7 @@
 			return record, nil
 		}
 		r.declareLost(ctx, record.GetClaim())
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return nil, stillRunning()
 		}
 		wait = min(2*wait, joinMaxWait)
@@ -237,18 +237,6 @@
 	}
 }
 
-// sleep waits for d. It returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // wholeBody reads a request's body into memory.
 func wholeBody(req *dispatch.Request) ([]byte, *outcome.Refusal) {
 	body, err := req.Body.ReadAll(maxRunBodyBytes)
@@ -395,7 +383,7 @@
 			return
 		}
 		r.log.Warn("run record not finished", "organisation", f.GetOrganisation(), "attempt", attempt, "err", err)
-		if !sleep(r.life, min(joinFirstWait<<attempt, time.Second)) {
+		if !clock.Sleep(r.life, min(joinFirstWait<<attempt, time.Second)) {
 			return
 		}
 	}
--- a/internal/node/entries.go
+++ b/internal/node/entries.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/guavaford/guavaford/internal/clock"
 )
 
 // entries counts the requests of callers that are under way at this node.
@@ -32,7 +34,7 @@
 // wait returns nil when no request is under way, or the error of ctx when that ends first.
 func (e *entries) wait(ctx context.Context) error {
 	for e.running.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, entriesPoll)
+		clock.Sleep(ctx, entriesPoll)
 	}
 	return ctx.Err()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"os"
 	"time"
 
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/settings"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
@@ -61,7 +62,7 @@
 	if p.replica != nil {
 		p.replica.TransferLeadership(ctx)
 	}
-	sleep(ctx, heardTime)
+	clock.Sleep(ctx, heardTime)
 	p.gate.Close()
 	err := p.shutdownServers(ctx)
 	p.runs.Wait()
@@ -69,13 +70,3 @@
 	p.o.Log.Info("stopped", "clean", err == nil)
 	return err
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/guavaford/guavaford/internal/clock"
 )
 
 // Times of the client.
@@ -193,14 +195,7 @@
 // pause waits before the next round. It returns false when the context ends first.
 func (c *Client) pause(ctx context.Context, round int) bool {
 	wait := min(firstBackoff<<min(round, 10), maxBackoff)
-	timer := time.NewTimer(time.Duration((0.5 + c.jitter()/2) * float64(wait)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, time.Duration((0.5+c.jitter()/2)*float64(wait)))
 }
 
 // ask sends the request to one server.
