Answer 503 with a time to return when no target could be reached

Cause: an attempt for which no connection could be made has provably not run, but its refusal was called target-failed, whose status is 502. That status promises nothing, so callers could not send a booking again. An attempt whose caller left while the connection was opened was counted against the target.

An unsent attempt whose caller left is cancelled or past its deadline, not run, and says nothing about the target.

--- a/internal/dispatch/bounded.go
+++ b/internal/dispatch/bounded.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	switch r.Code {
-	case outcome.Overloaded, outcome.QueueFull, outcome.Evicted, outcome.TargetLeaving, outcome.TargetFailed,
+	case outcome.Overloaded, outcome.QueueFull, outcome.Evicted, outcome.TargetLeaving, outcome.TargetFailed, outcome.TargetUnreachable,
 		outcome.NodeStopping, outcome.StaleConfiguration, outcome.RepeatRefused:
 		return true
 	case outcome.DeadlineTooShort:
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -260,7 +260,7 @@
 		return route.Cancelled
 	case refusal.Code == outcome.DeadlineExceeded && refusal.Ran != outcome.RanNo:
 		return route.TimedOut
-	case refusal.Code == outcome.TargetFailed && refusal.Ran == outcome.RanNo:
+	case refusal.Code == outcome.TargetUnreachable:
 		return route.Unreachable
 	case refusal.Ran == outcome.RanNo:
 		return route.Refused
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -33,6 +34,8 @@
 	call   func(attempt int) (*gate.Answer, error)
 	fence  func() (*apiv1.FenceResponse, error)
 	attach func() (*gate.Answer, error)
+	// leave makes the caller go.
+	leave context.CancelFunc
 }
 
 func (s *fakeSender) Call(_ context.Context, _ string, h *apiv1.CallHeader, _ io.Reader) (*gate.Answer, error) {
@@ -111,6 +114,7 @@
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
+		s.leave = cancel
 		start := time.Now()
 		r := &Request{
 			Origin:  &callctx.Origin{Organisation: "court", Deadline: start.Add(10 * time.Second), Allowance: retry.NewAllowance(3)},
@@ -141,6 +145,32 @@
 	require.NotEqual(t, s.calls[0].GetKey().GetNumber(), s.calls[1].GetKey().GetNumber())
 }
 
+// TestTargetsThatCannotBeReachedAreNotRun: every node beside a target refuses the connection, as after a
+// loss of many. Nothing was sent, so a caller may send even a booking again.
+func TestTargetsThatCannotBeReachedAreNotRun(t *testing.T) {
+	s := &fakeSender{call: func(int) (*gate.Answer, error) {
+		return nil, &peer.CallError{Err: errors.New("connection refused")}
+	}}
+	result, _ := bookWith(t, s, bounded(2, false))
+	refusal := result.Refusal()
+	require.Equal(t, outcome.RanNo, refusal.Ran)
+	require.Equal(t, http.StatusServiceUnavailable, refusal.Code.Status())
+	require.Positive(t, refusal.RetryAfter)
+}
+
+// TestUnsentAttemptOfACallerThatLeft: the caller goes while the connection is opened. That says nothing about the target.
+func TestUnsentAttemptOfACallerThatLeft(t *testing.T) {
+	s := &fakeSender{}
+	s.call = func(int) (*gate.Answer, error) {
+		s.leave()
+		return nil, &peer.CallError{Err: context.Canceled}
+	}
+	result, _ := bookWith(t, s, bounded(2, false))
+	require.Equal(t, outcome.Cancelled, result.Refusal().Code)
+	require.Equal(t, outcome.RanNo, result.Refusal().Ran)
+	require.Len(t, s.calls, 1)
+}
+
 func TestStartedAttemptIsFetchedNotRepeated(t *testing.T) {
 	for _, state := range []apiv1.CallState{apiv1.CallState_CALL_STATE_RUNNING, apiv1.CallState_CALL_STATE_FINISHED} {
 		s := &fakeSender{fence: fenced(state, targetIncarnation)}
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -30,11 +30,16 @@
 		d.o.Log.Warn("connection of an attempt failed", "request", h.GetRequestId(), "target", target.ID(), "err", err, "left_out", leftOut)
 	}
 	var callErr *peer.CallError
-	if errors.As(err, &callErr) && !callErr.Sent {
-		return c.failed(h, outcome.NotRun(outcome.TargetFailed, 0, "no connection to the node beside the target"))
-	}
-	if ctx.Err() != nil {
-		return c.failed(h, ended(ctx))
+	unsent := errors.As(err, &callErr) && !callErr.Sent
+	switch {
+	case ctx.Err() != nil:
+		r := ended(ctx)
+		if unsent {
+			r.Ran = outcome.RanNo
+		}
+		return c.failed(h, r)
+	case unsent:
+		return c.failed(h, outcome.Unreachable("no connection to the node beside the target"))
 	}
 	if h.GetIdempotent() {
 		r := &outcome.Refusal{Code: outcome.TargetFailed, Ran: outcome.RanUnknown, Detail: "the connection to the node beside the target failed"}
@@ -86,7 +91,7 @@
 		}
 		switch resp.GetState() {
 		case apiv1.CallState_CALL_STATE_FENCED:
-			return c.failed(h, outcome.NotRun(outcome.TargetFailed, 0, "the call was fenced before it was started"))
+			return c.failed(h, outcome.Unreachable("the call was fenced before it was started"))
 		case apiv1.CallState_CALL_STATE_RUNNING, apiv1.CallState_CALL_STATE_FINISHED:
 			answer, err := d.o.Sender.Attach(ctx, target.NodeAddress, h.GetKey())
 			if err == nil {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -150,7 +150,8 @@
 	require.NoError(t, listener.Close())
 	f := newFixture(t, address, 1)
 	refusal := f.gate.Do(t.Context(), header(false), nil).Refusal()
-	require.Equal(t, outcome.TargetFailed, refusal.Code)
+	require.Equal(t, outcome.TargetUnreachable, refusal.Code)
+	require.Equal(t, http.StatusServiceUnavailable, refusal.Code.Status(), "502 would promise nothing")
 	require.Equal(t, outcome.RanNo, refusal.Ran)
 }
 
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -106,7 +106,7 @@
 func transportRefusal(ctx context.Context, err error) *outcome.Refusal {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return outcome.NotRun(outcome.TargetFailed, 0, "no connection to the target")
+		return outcome.Unreachable("no connection to the target")
 	}
 	r := &outcome.Refusal{Code: outcome.TargetFailed, Ran: outcome.RanUnknown, Detail: "the exchange with the target failed"}
 	switch {
--- a/internal/lab/call.go
+++ b/internal/lab/call.go
@@ -163,7 +163,7 @@
 	}
 	switch a.target.state {
 	case crashed:
-		a.refuse(&outcome.Refusal{Code: outcome.TargetFailed, Ran: outcome.RanNo})
+		a.refuse(&outcome.Refusal{Code: outcome.TargetUnreachable, Ran: outcome.RanNo})
 		return
 	case silent:
 		a.target.run.sim.After(dialTimeout, a.lost)
@@ -198,7 +198,7 @@
 func (a *attempt) refuse(refusal *outcome.Refusal) {
 	a.ended = true
 	kind := route.Refused
-	if refusal.Code == outcome.TargetFailed {
+	if refusal.Code == outcome.TargetUnreachable {
 		kind = route.Failure
 	}
 	a.answer(kind, refusal)
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -46,6 +46,7 @@
 	NoTarget           Code = "no-target"
 	TargetLeaving      Code = "target-leaving"
 	TargetFailed       Code = "target-failed"
+	TargetUnreachable  Code = "target-unreachable"
 	OutcomeUnknown     Code = "outcome-unknown"
 	StaleConfiguration Code = "stale-configuration"
 	HandleUnknown      Code = "handle-unknown"
@@ -82,6 +83,7 @@
 	NoTarget:           {http.StatusServiceUnavailable, "No target is available"},
 	TargetLeaving:      {http.StatusServiceUnavailable, "The target takes no new work"},
 	TargetFailed:       {http.StatusBadGateway, "The target failed"},
+	TargetUnreachable:  {http.StatusServiceUnavailable, "The target can't be reached"},
 	OutcomeUnknown:     {http.StatusBadGateway, "The outcome of the request is not known"},
 	StaleConfiguration: {http.StatusServiceUnavailable, "The configuration can't be confirmed at the moment"},
 	HandleUnknown:      {http.StatusForbidden, "The handle names no running request"},
@@ -133,6 +135,15 @@
 	return &Refusal{Code: code, Ran: RanNo, RetryAfter: retryAfter, Detail: fmt.Sprintf(format, args...)}
 }
 
+// unreachableRetryAfter is when a caller may come back after no target could be reached. It is the time
+// named when no target is known (internal/route): others are announced or found by then.
+const unreachableRetryAfter = time.Second
+
+// Unreachable returns a refusal of work for which no connection to its target was made.
+func Unreachable(detail string) *Refusal {
+	return NotRun(TargetUnreachable, unreachableRetryAfter, "%s", detail)
+}
+
 // Error makes a refusal usable where an error is expected.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("%s (ran: %s): %s", r.Code, r.Ran, r.Detail)
--- a/internal/retry/backoff.go
+++ b/internal/retry/backoff.go
@@ -37,7 +37,7 @@
 		return false
 	}
 	switch r.Code {
-	case outcome.Evicted, outcome.QueueFull, outcome.TargetLeaving, outcome.NodeStopping, outcome.TargetFailed, outcome.Overloaded,
+	case outcome.Evicted, outcome.QueueFull, outcome.TargetLeaving, outcome.NodeStopping, outcome.TargetFailed, outcome.TargetUnreachable, outcome.Overloaded,
 		// The node beside a target may have lost control while others have not.
 		outcome.StaleConfiguration:
 		return repeatable || r.Ran == outcome.RanNo
