Log connections that can't be accepted

Cause: the entry swallowed errors of accept, so that a process out of descriptors could not be told from one without callers.

Change: http1.Options has a function that is told; the node logs a sampled line with the number of open connections.

--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -61,10 +61,18 @@
 		Log:        p.o.Log,
 		Lines:      p.lines,
 	})
-	p.direct = http1.NewServer(entry, func() http1.Limits {
+	limits := func() http1.Limits {
 		l := p.board.Configuration.Load().Snapshot.Callers
 		return http1.Limits{MaxHeader: l.MaxHeader, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, Connections: p.o.settings.MaxConnections}
-	})
+	}
+	p.direct = http1.NewServer(http1.Options{Handler: entry, Limits: limits, AcceptFailed: p.logAcceptFailed})
+}
+
+// logAcceptFailed logs that a caller's connection had to wait: the process may be out of descriptors.
+func (p *Process) logAcceptFailed(err error) {
+	if leftOut, ok := p.lines.Allow(p.o.Clock.Now()); ok {
+		p.o.Log.Warn("a connection could not be accepted", "open", p.direct.Open(), "err", err, "left_out", leftOut)
+	}
 }
 
 // logShortage logs that a service has become short of room, by what this entry believes, or has room again.
