Let calls leave a full data centre for one whose queues are half as long

Cause: once the targets of all data centres were above 0.9 of their limit no call left its data centre any more, however unequal the queues.

--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -24,6 +24,10 @@
 // well below the load at which entries shed, so that room elsewhere is used first.
 const directSpillLoad = 0.6
 
+// directFullAdvantage is the ratio of scores that makes a call leave its data centre for a target that is full as well:
+// a queue half as long pays for the way, small differences don't.
+const directFullAdvantage = 0.5
+
 // routeConfig returns how targets are chosen; nil stands for the defaults.
 func (p *Process) routeConfig() *route.Config {
 	if p.o.settings.DirectAddress == "" {
@@ -32,6 +36,7 @@
 	config := route.DefaultConfig()
 	config.SlowStart = directSlowStart
 	config.SpillLoad = directSpillLoad
+	config.FullAdvantage = directFullAdvantage
 	return &config
 }
 
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -34,6 +34,9 @@
 	MaxEjected float64
 	// SpillLoad is the share of a target's limit in use from which other data centres compete.
 	SpillLoad float64
+	// FullAdvantage is the ratio of scores that makes a call leave its data centre for a target that is full too;
+	// 0 keeps it there.
+	FullAdvantage float64
 	// Ejected, if set, is told of each target that is ejected, and for how long.
 	Ejected func(t *registry.Target, pause time.Duration)
 	// Cutoffs is shared by the pickers of a node; nil gives the picker its own.
@@ -220,13 +223,17 @@
 	switch {
 	case local == nil:
 		return remote
-	case remote == nil || remote.full(now, DefaultSpillLoad):
+	case remote == nil:
 		return local
-	case p.score(now, remote) < spillAdvantage*p.score(now, local):
+	}
+	advantage := spillAdvantage
+	if remote.full(now, DefaultSpillLoad) {
+		advantage = p.config.FullAdvantage
+	}
+	if p.score(now, remote) < advantage*p.score(now, local) {
 		return remote
-	default:
-		return local
 	}
+	return local
 }
 
 // better draws two targets and returns the one with the lower score, or nil.
--- a/internal/route/picker_test.go
+++ b/internal/route/picker_test.go
@@ -49,6 +49,26 @@
 	require.Positive(t, counts["far"])
 }
 
+// TestDataCentresThatAreAllFullShareTheQueue: every target is full, as under a burst, and one data centre has lost most of
+// its targets. Its calls leave it for queues that are much shorter, but not for small differences.
+func TestDataCentresThatAreAllFullShareTheQueue(t *testing.T) {
+	for near, stays := range map[uint32]bool{70: false, 25: true} {
+		config := DefaultConfig()
+		config.FullAdvantage = 0.5
+		p := NewPicker(config, "kl", clock.System{}, 1)
+		p.Update([]*registry.Target{target("near", "kl"), target("far", "shah-alam")})
+		queued := map[string]uint32{"near": near - 10, "far": 10}
+		counts := picks(t, p, 100, func(node string) Observation {
+			return Observation{Kind: Success, Latency: 10 * time.Millisecond, Load: &apiv1.LoadReport{InFlight: 10, Queued: queued[node], Limit: 10}}
+		})
+		if stays {
+			require.Greater(t, counts["near"], 95, "queue of %d", near)
+		} else {
+			require.Greater(t, counts["far"], 95, "queue of %d", near)
+		}
+	}
+}
+
 func TestPickPrefersTheFasterTarget(t *testing.T) {
 	p := picker(target("fast", "kl"), target("slow", "kl"))
 	counts := picks(t, p, 200, func(node string) Observation {
--- a/internal/shed/zones_test.go
+++ b/internal/shed/zones_test.go
@@ -83,6 +83,7 @@
 	}
 	config := route.DefaultConfig()
 	config.SpillLoad = 0.6
+	config.FullAdvantage = 0.5
 	for i := range entriesOfZone * len(held) {
 		zone := i % len(held)
 		relay := NewRelay()
