Keep news of load from going round between nodes

Cause: every node is an entry and stands beside a target. It told on in answers what it had heard as an entry, from nodes that had it from nodes like itself.

Change: answers tell of services below only what came up through calls of the host's own target. What an entry hears still counts for its own decisions. Readings fade in 200 ms instead of 400 ms.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -140,9 +140,7 @@
 	answer := c.send(ctx, target, header)
 	now := d.o.Clock.Now()
 	choice.Done(observe(answer, now.Sub(start)))
-	if d.o.Pressures != nil {
-		d.o.Pressures.Learn(now, c.work(), target.ID(), answer.Header.GetLoad().GetPressures())
-	}
+	c.learn(now, target, answer.Header.GetLoad().GetPressures())
 	if answer.Refusal() != nil {
 		c.takeBack(answer)
 		return answer
@@ -151,6 +149,18 @@
 	return answer
 }
 
+// learn takes the load of services that came with an answer.
+func (c *call) learn(now time.Time, target *registry.Target, told []*apiv1.Pressure) {
+	relay := c.dispatcher.o.Pressures
+	switch {
+	case relay == nil:
+	case c.request.Origin.Depth == 0:
+		relay.LearnAtEntry(now, c.work(), target.ID(), told)
+	default:
+		relay.Learn(now, c.work(), target.ID(), told)
+	}
+}
+
 // work names what the request asks its service for.
 func (c *call) work() shed.Work {
 	return shed.Work{Service: c.request.Service, Route: c.request.Origin.Route}
--- a/internal/shed/doc.go
+++ b/internal/shed/doc.go
@@ -12,7 +12,8 @@
 //     request of each route makes, as far as the route for which a target calls is known. The load of a service is the
 //     mean of them: entries use the targets of their own data centre first, and one of these that is full must not keep
 //     requests out that others could serve. Readings travel with answers: the node beside a target adds
-//     those of the services that its target called, so an entry learns of services that it never calls itself. Nodes
+//     those of the services that its target called, so an entry learns of services that it never calls itself. What a node heard as an
+//     entry it does not tell on, so that news can't go in circles. Nodes
 //     with targets of one service swap what they know of each other, so that all entries steer by the same load.
 //   - A Governor decides at an entry. For each service it holds the share of the demand that may
 //     enter, and lowers or raises it by the load that the service reports. The share goes to the most
--- a/internal/shed/relay.go
+++ b/internal/shed/relay.go
@@ -15,7 +15,7 @@
 	readingLife = 2 * time.Second
 	// readingFade is the time constant in which a reading loses its weight in the mean of its service, since a
 	// target that is not used any more tells nothing new.
-	readingFade = 400 * time.Millisecond
+	readingFade = 200 * time.Millisecond
 	// maxExchanged bounds the readings of one message: 0.45 kB. A node asks and is asked five times a second each, 9 kB/s of the 20 that a
 	// node may use for control. Of more targets a part is drawn each time.
 	maxExchanged = 16
@@ -56,14 +56,17 @@
 	origin origin
 }
 
-// origin is where a reading comes from. Readings of every origin count alike at a node: those that were passed on lag
-// behind, which keeps entries from closing and opening too far. Only the others are exchanged.
+// origin is where a reading comes from. Readings of every origin count alike for what enters at a node: those that were
+// passed on lag behind, which keeps entries from closing and opening too far. What is told to others must not go in
+// circles: answers tell of what came up from below only, and nodes beside targets of one service exchange what those told.
 type origin int
 
 // Origins, from the least to the most direct.
 const (
-	// originPassed: a target of another service told what its calls met.
-	originPassed origin = iota
+	// originEntry: the answer to a new request that entered here told of a service below the one that answered.
+	originEntry origin = iota
+	// originPassed: the answer to a call of this host's target told of a service below the one that answered.
+	originPassed
 	// originTold: a target of the service itself, or another node with such a target.
 	originTold
 	// originOwn: a target of this host.
@@ -75,9 +78,14 @@
 type readings struct {
 	// from holds readings by the ID of the target that answered.
 	from map[string]*reading
-	mean reading
-	// meanAt is when mean was computed.
-	meanAt time.Time
+	// all is the mean of the readings, below that of those that may be told on.
+	all, below mean
+}
+
+// mean is a mean of readings and when it was computed.
+type mean struct {
+	reading
+	computed time.Time
 }
 
 // observe averages the readings of one target over time, so that a busy one doesn't count more for answering more.
@@ -97,15 +105,25 @@
 }
 
 // load returns the mean of the readings that count and the time of the latest; ok is false if there is none.
-func (s *readings) load(now time.Time) (mean reading, ok bool) {
-	if age := now.Sub(s.meanAt); s.meanAt.IsZero() || age >= meanInterval || age < 0 {
-		s.mean, s.meanAt = s.average(now), now
+func (s *readings) load(now time.Time) (reading, bool) {
+	return s.mean(now, &s.all, originEntry)
+}
+
+// told is load without what only new requests heard, which comes from nodes that may have it from here.
+func (s *readings) told(now time.Time) (reading, bool) {
+	return s.mean(now, &s.below, originPassed)
+}
+
+// mean returns the mean of the readings from an origin on, which it keeps for a while in kept.
+func (s *readings) mean(now time.Time, kept *mean, least origin) (reading, bool) {
+	if age := now.Sub(kept.computed); kept.computed.IsZero() || age >= meanInterval || age < 0 {
+		kept.reading, kept.computed = s.average(now, least), now
 	}
-	return s.mean, !s.mean.at.IsZero()
+	return kept.reading, !kept.at.IsZero()
 }
 
-// average forgets old readings and returns the mean of the others.
-func (s *readings) average(now time.Time) reading {
+// average forgets old readings and returns the mean of those from an origin on.
+func (s *readings) average(now time.Time, least origin) reading {
 	var mean reading
 	total := 0.0
 	for from, r := range s.from {
@@ -113,6 +131,9 @@
 			delete(s.from, from)
 			continue
 		}
+		if r.origin < least {
+			continue
+		}
 		weight := math.Exp(-now.Sub(r.at).Seconds() / readingFade.Seconds())
 		total += weight
 		mean.load += weight / total * (r.load - mean.load)
@@ -191,8 +212,18 @@
 	return s
 }
 
-// Learn takes what came with the answer of a target to a request.
+// Learn takes what came with the answer of a target to a call that a target of this host made.
 func (r *Relay) Learn(now time.Time, w Work, target string, pressures []*apiv1.Pressure) {
+	r.learn(now, w, target, pressures, originPassed)
+}
+
+// LearnAtEntry takes what came with the answer of a target to a request that entered at this node.
+func (r *Relay) LearnAtEntry(now time.Time, w Work, target string, pressures []*apiv1.Pressure) {
+	r.learn(now, w, target, pressures, originEntry)
+}
+
+// learn takes what came with an answer; passed is the origin of what it tells of services below the one that answered.
+func (r *Relay) learn(now time.Time, w Work, target string, pressures []*apiv1.Pressure, passed origin) {
 	if len(pressures) == 0 {
 		return
 	}
@@ -205,7 +236,7 @@
 	}
 	for _, p := range pressures {
 		at := now.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond)
-		o := originPassed
+		o := passed
 		if p.GetService() == w.Service {
 			o = originTold
 		}
@@ -224,7 +255,7 @@
 		if len(out) == maxExchanged {
 			break
 		}
-		if age := now.Sub(known.at); age <= readingLife && known.origin != originPassed {
+		if age := now.Sub(known.at); age <= readingLife && known.origin >= originTold {
 			out = append(out, &apiv1.TargetReading{
 				Target: target, LoadPermille: uint32(known.load * permille), AgeMs: uint32(max(age, 0) / time.Millisecond)})
 		}
@@ -257,7 +288,11 @@
 	defer r.mu.Unlock()
 	var report []*apiv1.Pressure
 	for name, calls := range r.callsBelow(now, w) {
-		known, ok := r.load(now, name)
+		s := r.services[name]
+		if s == nil {
+			continue
+		}
+		known, ok := s.told(now)
 		if !ok {
 			continue
 		}
