Count only repeats that may run as offered to a target

Cause: while targets turn calls away, callers send them to others, whose gates refuse most of them since the repeats of the service are used up.

Change: the meter counts a call after its repeat was allowed.

The test reads 0.97 without the change, less than 0.2 with it.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -310,10 +310,11 @@
 	}
 	deadline, _ := ctx.Deadline()
 	start := g.o.Clock.Now()
-	e.meter.Arrived(start)
+	// A repeat that may not run is not offered to the target, whatever room that has.
 	if r := g.admitRepeat(e, h); r != nil {
 		return admission.Permit{}, r
 	}
+	e.meter.Arrived(start)
 	permit, refusal := e.admission.Acquire(ctx, admission.Request{
 		Organisation: h.GetOrganisation(),
 		Weight:       h.GetWeight(),
--- a/internal/gate/pressure_test.go
+++ b/internal/gate/pressure_test.go
@@ -10,7 +10,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/headers"
+	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/retry"
 )
 
 // TestTargetThatRefusesPartOfItsRequestsIsNotFull: a target turns away nine of ten requests while it is nearly idle. Its
@@ -41,3 +44,32 @@
 	reading := e.meter.Read(time.Now(), 10)
 	require.Less(t, reading.Load, 0.2, "one request at a time at ten slots: %+v", reading)
 }
+
+// TestRepeatsThatMayNotRunDoNotFillTheTarget: other targets turn calls away, so that nine of ten that come here are repeats, for
+// which the service has nothing left. The target is nearly idle and must read so.
+func TestRepeatsThatMayNotRunDoNotFillTheTarget(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+	}))
+	defer target.Close()
+	f := newFixture(t, strings.TrimPrefix(target.URL, "http://"), 10)
+	f.gate.o.Repeats.Targets = func(string) int { return 1 }
+	e, ok := f.gate.find("t1")
+	require.True(t, ok)
+	e.repeats = retry.NewWindow(0.01, 0, 10*time.Second)
+	refused := 0
+	for start := time.Now(); time.Since(start) < 600*time.Millisecond; {
+		read(t, f.gate.Do(t.Context(), header(true), nil))
+		for range 9 {
+			h := header(true)
+			h.Repeat, h.Depth, h.Attempt = apiv1.Repeat_REPEAT_REACHED, 1, 1
+			if refusal := f.gate.Do(t.Context(), h, nil).Refusal(); refusal != nil {
+				require.Equal(t, outcome.RepeatRefused, refusal.Code)
+				refused++
+			}
+		}
+	}
+	require.Greater(t, refused, 200)
+	reading := e.meter.Read(time.Now(), 10)
+	require.Less(t, reading.Load, 0.2, "one request at a time at ten slots: %+v", reading)
+}
