Lose disks of control replicas in the fault soak

Change: a fault lose-disk kills a process, removes the state of its replica and starts it again, by the rule that at most one host with control is harmed at a time.

--- a/internal/faultsoak/fleet.go
+++ b/internal/faultsoak/fleet.go
@@ -32,6 +32,8 @@
 	// callers and peers forward to the node, targets is where targets announce themselves.
 	callers, peers    *Proxy
 	targets, operator string
+	// data is the data folder.
+	data string
 	// served forward from the node to the targets on its host.
 	served []*Proxy
 }
@@ -92,8 +94,8 @@
 	for i, n := range f.nodes {
 		n.process.name = fmt.Sprintf("n%d", i+1)
 		n.log = filepath.Join(f.folder, n.process.name+".log")
-		n.args = append(n.args, "--name", n.process.name, "--data-centre", fmt.Sprintf("dc%d", i%controlNodes),
-			"--data-folder", filepath.Join(f.folder, "data-"+n.process.name))
+		n.data = filepath.Join(f.folder, "data-"+n.process.name)
+		n.args = append(n.args, "--name", n.process.name, "--data-centre", fmt.Sprintf("dc%d", i%controlNodes), "--data-folder", n.data)
 		if i < controlNodes {
 			n.args = append(n.args, "--initial-replicas", strings.Join(control, ","))
 		} else {
@@ -150,6 +152,13 @@
 		}, again
 	case KillProcess:
 		return func() { <-n.signal(syscall.SIGKILL) }, again
+	case LoseDisk:
+		return func() {
+			<-n.signal(syscall.SIGKILL)
+			if err := loseDisk(n.data); err != nil {
+				report(err)
+			}
+		}, again
 	case PauseProcess:
 		return func() { n.signal(syscall.SIGSTOP) }, func() { n.signal(syscall.SIGCONT) }
 	case DelayPeers:
--- a/internal/faultsoak/plan.go
+++ b/internal/faultsoak/plan.go
@@ -15,6 +15,8 @@
 	StopProcess Kind = "stop"
 	// KillProcess kills a process and starts it again after the time of the fault.
 	KillProcess Kind = "kill"
+	// LoseDisk kills a process, removes the state of its control replica and starts it again after the time of the fault.
+	LoseDisk Kind = "lose-disk"
 	// PauseProcess suspends a process for the time of the fault.
 	PauseProcess Kind = "pause"
 	// The others are faults of the proxies before a process.
@@ -29,7 +31,7 @@
 
 // kinds lists all kinds in the order in which seeds draw them.
 var kinds = []Kind{
-	StopProcess, KillProcess, PauseProcess, DelayPeers, SilentPeers, OneWayPeers, ResetPeers, ResetCallers, DelayTargets, ResetTargets,
+	StopProcess, KillProcess, PauseProcess, DelayPeers, SilentPeers, OneWayPeers, ResetPeers, ResetCallers, DelayTargets, ResetTargets, LoseDisk,
 }
 
 // Fault is one fault of a plan.
@@ -82,7 +84,7 @@
 // harms reports whether a host with control counts as lost during a fault.
 func harms(k Kind) bool {
 	switch k {
-	case StopProcess, KillProcess, PauseProcess, SilentPeers, OneWayPeers:
+	case StopProcess, KillProcess, LoseDisk, PauseProcess, SilentPeers, OneWayPeers:
 		return true
 	default:
 		return false
