--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -103,7 +103,7 @@
 
 begin "drain a target"
 gf drain hearings/hearings-1
-drained() { gf status --output json | grep -q '"draining": *true'; }
+drained() { gf status --output json | grep '"draining": *true' >/dev/null; }
 eventually drained
 
 begin "stop"
