--- a/internal/shed/shed_test.go
+++ b/internal/shed/shed_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/knownred"
 )
 
 // chain is a service whose requests call a shared service some times; the shared service can do a
@@ -108,6 +109,22 @@
 	require.Greater(t, c.share("lookup"), 0.99)
 }
 
+// TestDemandThatFallsSteadily: callers give up one after the other, as after a burst in which many were refused twice. The
+// share must follow the demand down, so that the service stays busy until all fit.
+func TestDemandThatFallsSteadily(t *testing.T) {
+	const capacity = 4000.0
+	c := newChain(91, capacity, map[string]float64{"lookup": 4})
+	c.run(5*time.Second, kind{"lookup", Rank{}, 4 * capacity / 4})
+	done, fits := 0.0, 0.0
+	for demand := 4.0; demand > 0.8; demand *= 0.96 {
+		c.reset()
+		c.run(200*time.Millisecond, kind{"lookup", Rank{}, demand * capacity / 4})
+		done += min(float64(c.admitted["lookup"])*4, 1.1*capacity/5)
+		fits += min(demand, 1) * capacity / 5
+	}
+	knownred.Check(t, done/fits > 0.9, "%.3f of what fits", done/fits)
+}
+
 // TestShortageIsReportedOnceAtItsBeginAndEnd: a line in the log for each change of what an entry believes.
 func TestShortageIsReportedOnceAtItsBeginAndEnd(t *testing.T) {
 	var changes []Change
