Count what nodes exchange by kind and distance

Change: peer.Traffic counts exchanges and bytes by kind and by near or far data centre at both ends; Hello names the data centre. expvar shows the rows under "traffic": 15 kinds and 2 distances at most.

--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -105,6 +105,7 @@
 	transport peer.Transport
 	pool      *peer.Pool
 	peers     *peer.Server
+	traffic   *peer.Traffic
 	local     *registry.Local
 	directory *registry.Directory
 	board     *board.Board
@@ -162,7 +163,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p.o.identity = peer.Identity{Node: s.Name, Incarnation: incarnation}
+	p.o.identity = peer.Identity{Node: s.Name, Incarnation: incarnation, DataCentre: s.DataCentre}
+	p.traffic = peer.NewTraffic(s.DataCentre)
 	p.token = secrets.operatorToken
 	if p.transport = d.Transport; p.transport == nil && s.TrustedNetwork {
 		p.transport = peer.NewTrustedYamux()
@@ -172,8 +174,8 @@
 			return nil, err
 		}
 	}
-	p.pool = peer.NewPool(p.o.identity, p.transport, peer.PoolOptions{})
-	p.peers = peer.NewServer(p.o.identity, peer.ServerOptions{})
+	p.pool = peer.NewPool(p.o.identity, p.transport, peer.PoolOptions{Traffic: p.traffic})
+	p.peers = peer.NewServer(p.o.identity, peer.ServerOptions{Traffic: p.traffic})
 	p.local = registry.NewLocal(registry.LocalOptions{
 		Node:        s.Name,
 		NodeAddress: s.PeerAddress,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"slices"
 
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/board"
 	"github.com/guavaford/guavaford/internal/control"
 	"github.com/guavaford/guavaford/internal/operator"
+	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
@@ -59,9 +61,25 @@
 	m.SetGauge("leased_tokens", p.leasedTokens)
 	m.SetGauge("queued", func() float64 { return p.sumLoads(func(t operator.LocalTarget) int { return t.Queued }) })
 	p.setControlGauges()
+	m.SetTraffic(p.Traffic)
 	m.Publish()
 }
 
+// Traffic returns what the node has exchanged with other nodes, by kind and distance.
+func (p *Process) Traffic() []telemetry.TrafficRow {
+	var rows []telemetry.TrafficRow
+	p.traffic.Each(func(m apiv1.Method, d peer.Distance, c *peer.Counter) {
+		rows = append(rows, telemetry.TrafficRow{
+			Kind:      peer.KindName(m),
+			Distance:  d.String(),
+			Exchanges: c.Exchanges.Load(),
+			Sent:      c.Sent.Load(),
+			Received:  c.Received.Load(),
+		})
+	})
+	return rows
+}
+
 // sumLoads adds up one figure of the local targets.
 func (p *Process) sumLoads(figure func(operator.LocalTarget) int) float64 {
 	sum := 0
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -36,7 +36,7 @@
 // header of the answer. The context governs the answer's body too. The error
 // is a *CallError; body may be nil.
 func (p *Pool) Call(ctx context.Context, address string, h *apiv1.CallHeader, body io.Reader) (*Answer, error) {
-	x, err := p.openExchange(ctx, address)
+	x, err := p.openExchange(ctx, address, apiv1.Method_METHOD_CALL)
 	if err != nil {
 		return nil, err
 	}
@@ -52,28 +52,28 @@
 // Attach asks the node at address for the answer of a call that runs or has
 // finished there. The error is a *CallError.
 func (p *Pool) Attach(ctx context.Context, address string, key *apiv1.CallKey) (*Answer, error) {
-	x, err := p.openExchange(ctx, address)
+	x, err := p.openExchange(ctx, address, apiv1.Method_METHOD_ATTACH)
 	if err != nil {
 		return nil, err
 	}
-	if err := x.sendHeader(apiv1.Method_METHOD_ATTACH, &apiv1.AttachRequest{Key: key}); err != nil {
+	if err := x.sendHeader(&apiv1.AttachRequest{Key: key}); err != nil {
 		x.close(false)
 		return nil, x.failure(err)
 	}
 	return x.receiveAnswer(key)
 }
 
-func (x *exchange) sendHeader(m apiv1.Method, header proto.Message) error {
+func (x *exchange) sendHeader(header proto.Message) error {
 	buf := newFrameBuffer()
 	defer buf.release()
-	if err := x.addHeader(buf, m, header); err != nil {
+	if err := x.addHeader(buf, header); err != nil {
 		return err
 	}
 	return x.flushWhole(buf)
 }
 
-func (x *exchange) addHeader(buf *frameBuffer, m apiv1.Method, header proto.Message) error {
-	if err := buf.add(&apiv1.StreamHeader{Method: m, Number: x.number}); err != nil {
+func (x *exchange) addHeader(buf *frameBuffer, header proto.Message) error {
+	if err := buf.add(&apiv1.StreamHeader{Method: x.method, Number: x.number}); err != nil {
 		return err
 	}
 	if size := proto.Size(header); size > maxHeaderBytes {
@@ -87,7 +87,7 @@
 // end may answer before it has read all of it.
 func (x *exchange) sendCall(h *apiv1.CallHeader, body io.Reader) error {
 	buf := newFrameBuffer()
-	if err := x.addHeader(buf, apiv1.Method_METHOD_CALL, h); err != nil {
+	if err := x.addHeader(buf, h); err != nil {
 		buf.release()
 		return err
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -18,6 +18,7 @@
 	remote  Identity
 	control *controlWriter
 	idle    idleStreams
+	traffic *Traffic
 
 	inFlight   atomic.Int64
 	nextNumber atomic.Uint64
@@ -39,13 +40,14 @@
 }
 
 // openConn says Hello on a new session and starts the connection's goroutines.
-func openConn(ctx context.Context, id Identity, session Session) (*conn, error) {
+func openConn(ctx context.Context, id Identity, session Session, traffic *Traffic) (*conn, error) {
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
 	stream, err := session.Open(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "open control stream")
 	}
+	stream = traffic.count(stream)
 	reader := bufio.NewReaderSize(stream, maxControlBytes)
 	remote, err := exchangeHello(id, stream, reader)
 	if err != nil {
@@ -54,7 +56,8 @@
 	c := &conn{
 		session: session,
 		remote:  remote,
-		control: newControlWriter(stream),
+		control: newControlWriter(stream, traffic, remote),
+		traffic: traffic,
 		pong:    make(chan struct{}, 1),
 		wake:    make(chan struct{}, 1),
 		probe:   make(chan struct{}, 1),
@@ -87,7 +90,7 @@
 }
 
 func newHello(id Identity) *apiv1.Hello {
-	return &apiv1.Hello{Node: id.Node, Incarnation: id.Incarnation, ProtocolVersion: protocolVersion}
+	return &apiv1.Hello{Node: id.Node, Incarnation: id.Incarnation, DataCentre: id.DataCentre, ProtocolVersion: protocolVersion}
 }
 
 // checkHello returns the identity that a Hello names.
@@ -101,7 +104,7 @@
 	if h.ProtocolVersion != protocolVersion {
 		return Identity{}, errors.Errorf("the other end speaks protocol version %d, this node %d", h.ProtocolVersion, protocolVersion)
 	}
-	return Identity{Node: h.Node, Incarnation: h.Incarnation}, nil
+	return Identity{Node: h.Node, Incarnation: h.Incarnation, DataCentre: h.DataCentre}, nil
 }
 
 // begin reserves the connection for one exchange. It returns false when the
@@ -166,6 +169,7 @@
 	if err != nil {
 		return clientStream{}, err
 	}
+	stream = c.traffic.count(stream)
 	return clientStream{stream: stream, reader: newReader(stream)}, nil
 }
 
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -14,15 +14,17 @@
 
 // controlWriter writes control frames without making its callers wait.
 type controlWriter struct {
-	stream net.Conn
-	wake   chan struct{}
+	stream  net.Conn
+	traffic *Traffic
+	remote  Identity
+	wake    chan struct{}
 
 	mu      sync.Mutex
 	pending []*apiv1.ControlFrame
 }
 
-func newControlWriter(stream net.Conn) *controlWriter {
-	return &controlWriter{stream: stream, wake: make(chan struct{}, 1)}
+func newControlWriter(stream net.Conn, traffic *Traffic, remote Identity) *controlWriter {
+	return &controlWriter{stream: stream, traffic: traffic, remote: remote, wake: make(chan struct{}, 1)}
 }
 
 func (w *controlWriter) ping(number uint64)   { w.send(&apiv1.ControlFrame{Ping: number}) }
@@ -67,6 +69,7 @@
 }
 
 func (w *controlWriter) write(frames []*apiv1.ControlFrame) error {
+	defer w.traffic.settle(controlFrames, w.remote, w.stream)
 	return writeFrames(w.stream, frames...)
 }
 
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
 
 // past is a deadline that makes blocked reads and writes of a stream return.
@@ -14,6 +16,7 @@
 	conn    *conn
 	address string
 	clientStream
+	method apiv1.Method
 	number uint64
 	stop   func() bool
 	ended  atomic.Bool
@@ -26,7 +29,7 @@
 
 // openExchange reserves a connection and opens a stream on it. An error means
 // that nothing was sent.
-func (p *Pool) openExchange(ctx context.Context, address string) (*exchange, error) {
+func (p *Pool) openExchange(ctx context.Context, address string, m apiv1.Method) (*exchange, error) {
 	c, err := p.reserve(ctx, address)
 	if err != nil {
 		return nil, &CallError{Address: address, Err: err}
@@ -40,6 +43,7 @@
 		conn:         c,
 		address:      address,
 		clientStream: stream,
+		method:       m,
 		number:       c.nextNumber.Add(1),
 		ctx:          ctx,
 	}
@@ -66,6 +70,7 @@
 	if completed {
 		x.conn.hear()
 	}
+	x.conn.traffic.settle(x.method, x.conn.remote, x.stream)
 	if completed && uninterrupted && x.reuse && x.sentWhole.Load() {
 		x.conn.idle.put(x.clientStream)
 	} else {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -16,6 +16,8 @@
 type PoolOptions struct {
 	// Seed makes the jitter of reconnects repeatable; 0 draws one.
 	Seed uint64
+	// Traffic counts what is exchanged; nil counts nothing.
+	Traffic *Traffic
 	// Intercept, when set, runs each unary exchange by calling do. Tests use it
 	// to lose, delay and repeat messages.
 	Intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
@@ -26,6 +28,7 @@
 	id        Identity
 	transport Transport
 	intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
+	traffic   *Traffic
 
 	// ctx ends when the pool is closed.
 	ctx    context.Context
@@ -71,6 +74,7 @@
 		id:        id,
 		transport: t,
 		intercept: o.Intercept,
+		traffic:   o.Traffic,
 		routes:    make(map[string]*route),
 		rnd:       rand.New(rand.NewPCG(seed, seed)),
 	}
@@ -222,7 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := openConn(ctx, p.id, session)
+	c, err := openConn(ctx, p.id, session, p.traffic)
 	if err != nil {
 		_ = session.Close()
 		return nil, err
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,6 +16,8 @@
 	MaxSessions int
 	// MaxStreams bounds the exchanges that one connection has in flight.
 	MaxStreams int
+	// Traffic counts what is exchanged; nil counts nothing.
+	Traffic *Traffic
 }
 
 // unaryHandler decodes a request, runs its handler and returns the response.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -71,7 +71,7 @@
 		if err != nil {
 			return
 		}
-		ss.startStream(stream)
+		ss.startStream(ss.server.options.Traffic.count(stream))
 	}
 }
 
@@ -89,6 +89,8 @@
 	if err != nil {
 		return nil, err
 	}
+	traffic := ss.server.options.Traffic
+	stream = traffic.count(stream)
 	reader := bufio.NewReaderSize(stream, maxControlBytes)
 	var header apiv1.StreamHeader
 	if err := readFrame(reader, &header, maxControlBytes); err != nil {
@@ -111,7 +113,7 @@
 		<-ss.session.Done()
 		return nil, err
 	}
-	ss.control.Store(newControlWriter(stream))
+	ss.control.Store(newControlWriter(stream, traffic, ss.remote))
 	return reader, nil
 }
 
@@ -288,6 +290,7 @@
 	}
 	ss.active.Add(1)
 	defer ss.active.Add(-1)
+	defer ss.server.options.Traffic.settle(header.Method, ss.remote, stream)
 	switch header.Method {
 	case apiv1.Method_METHOD_CALL:
 		return ss.serveCall(stream, reader, &header)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -13,6 +13,8 @@
 	Node string
 	// Incarnation is drawn at each process start; see NewIncarnation.
 	Incarnation uint64
+	// DataCentre is where the node runs; empty if it does not say.
+	DataCentre string
 }
 
 // incarnationRandomBits is the number of low bits of an incarnation that are drawn at random.
--- a/internal/peer/unary.go
+++ b/internal/peer/unary.go
@@ -22,11 +22,11 @@
 }
 
 func (p *Pool) unary(ctx context.Context, address string, m apiv1.Method, req, resp proto.Message) error {
-	x, err := p.openExchange(ctx, address)
+	x, err := p.openExchange(ctx, address, m)
 	if err != nil {
 		return err
 	}
-	err = x.unary(m, req, resp)
+	err = x.unary(req, resp)
 	var remote *RemoteError
 	x.close(err == nil || errors.As(err, &remote))
 	if err != nil {
@@ -35,10 +35,10 @@
 	return nil
 }
 
-func (x *exchange) unary(m apiv1.Method, req, resp proto.Message) error {
+func (x *exchange) unary(req, resp proto.Message) error {
 	buf := newFrameBuffer()
 	defer buf.release()
-	header := &apiv1.StreamHeader{Method: m, Number: x.number, TimeoutNs: timeoutOf(x.ctx)}
+	header := &apiv1.StreamHeader{Method: x.method, Number: x.number, TimeoutNs: timeoutOf(x.ctx)}
 	if err := buf.add(header); err != nil {
 		return err
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -36,6 +36,17 @@
 
 	refusals map[outcome.Code]*atomic.Int64
 	gauges   sync.Map // string to func() float64
+	traffic  atomic.Pointer[func() []TrafficRow]
+}
+
+// TrafficRow counts the exchanges of one kind with other nodes.
+type TrafficRow struct {
+	Kind string `json:"kind"`
+	// Distance is near for the own data centre and far for others.
+	Distance  string `json:"distance"`
+	Exchanges int64  `json:"exchanges"`
+	Sent      int64  `json:"sent_bytes"`
+	Received  int64  `json:"received_bytes"`
 }
 
 // NewMetrics returns metrics that all stand at zero.
@@ -63,6 +74,11 @@
 	m.gauges.Store(name, read)
 }
 
+// SetTraffic registers what is read at each export for the traffic with other nodes.
+func (m *Metrics) SetTraffic(read func() []TrafficRow) {
+	m.traffic.Store(&read)
+}
+
 // Export is the exported form of Metrics.
 type Export struct {
 	Counters  map[string]int64   `json:"counters"`
@@ -70,6 +86,7 @@
 	Gauges    map[string]float64 `json:"gauges"`
 	Latency   []Summary          `json:"latency"`
 	QueueWait []Summary          `json:"queue_wait"`
+	Traffic   []TrafficRow       `json:"traffic"`
 }
 
 // Export reads every metric.
@@ -93,6 +110,9 @@
 	for code, counter := range m.refusals {
 		e.Refusals[string(code)] = counter.Load()
 	}
+	if read := m.traffic.Load(); read != nil {
+		e.Traffic = (*read)()
+	}
 	m.gauges.Range(func(name, read any) bool {
 		e.Gauges[name.(string)] = read.(func() float64)()
 		return true
