Send differences of the registry, from the replica of the own data centre

(1) While a replica warms up it counted no versions, so each announcement of any target sent the whole view to every node, and the next heartbeat was answered at once: bytes grew with the square of the fleet. (2) A client looked for a replica in its data centre once, before it knew any, and then after 30 s. (3) Each change sent all targets of the service. (4) Each move of a rate shard sent 64 addresses.

Change: service updates build on a version, also while the replica warms up, and name what is hidden since; news is gathered for 50 ms; a digest tells another replica that the node holds the same; a node that knows no replicas is told of them alone while the one in its data centre answers; owners of rate shards travel as a table.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -102,9 +102,9 @@
 			away = append(away, replica.Address)
 		}
 	}
-	if now.After(c.lookHome) {
+	if len(home) > 0 && now.After(c.lookHome) {
 		c.lookHome = now.Add(homeInterval)
-		if len(home) > 0 && !slices.Contains(home, c.current) {
+		if !slices.Contains(home, c.current) {
 			c.current = home[0]
 		}
 	}
@@ -243,6 +243,7 @@
 		accept:  func(s *apiv1.SyncResponse) bool { return s.Vouched },
 	})
 	if err == nil {
+		unpackOwners(got.response)
 		c.Learn(got.response.Placement)
 	}
 	return got.response, err
--- a/internal/control/network.go
+++ b/internal/control/network.go
@@ -159,7 +159,8 @@
 		})
 	peer.HandleUnary(s, apiv1.Method_METHOD_SYNC, newOf[apiv1.SyncRequest],
 		func(ctx context.Context, _ peer.Identity, m *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
-			return r.Sync(ctx, m)
+			resp, err := r.Sync(ctx, m)
+			return packOwners(resp), err
 		})
 	peer.HandleUnary(s, apiv1.Method_METHOD_LEASE, newOf[apiv1.LeaseRequest],
 		func(ctx context.Context, _ peer.Identity, m *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error) {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -150,7 +150,7 @@
 		if err := peer.Unary(ctx, r.o.Pool, member.Address, apiv1.Method_METHOD_RELAY, message, reply); err != nil {
 			return
 		}
-		if !r.relay.Acknowledged(reply) {
+		if !r.relay.Acknowledged(r.o.Clock.Now(), reply) {
 			return
 		}
 	}
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
-
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/clock"
-	"github.com/guavaford/guavaford/internal/store"
 )
 
 // Bounds of a node's heartbeat.
@@ -17,6 +14,11 @@
 	maxSyncWait = 5 * time.Second
 	// vouchTimeout bounds the wait for a quorum.
 	vouchTimeout = 800 * time.Millisecond
+	// newsGap is how long news of targets is gathered before an answer. Targets that are announced at the same time, as when a
+	// fleet starts, then cost one answer for a node and not one each. A drain has seconds to be known everywhere.
+	newsGap = 50 * time.Millisecond
+	// nearbyAge is how long ago a replica must have answered at most for nodes to be sent to it: its exchanges are a second apart.
+	nearbyAge = 2 * relayInterval
 )
 
 // Sync takes over what a node announces, vouches for the revision, and answers with what
@@ -38,6 +40,10 @@
 	}
 	response.Vouched = true
 	response.VouchedRevision = confirmation.head.Revision
+	if r.nearer(request) {
+		response.Placement = r.placement()
+		return response, nil
+	}
 	for {
 		_, storeChanged := r.store.Head().Watch()
 		relayChanged := r.relay.Changed()
@@ -47,6 +53,7 @@
 		select {
 		case <-storeChanged:
 		case <-relayChanged:
+			clock.Sleep(ctx, newsGap)
 		case <-deadline.C:
 			return response, nil
 		case <-r.stopped:
@@ -57,6 +64,18 @@
 	}
 }
 
+// nearer reports whether a node that does not know the replicas yet has one in its own data centre. It is told of the
+// replicas only, so that the configuration and the registry come from there.
+func (r *Replica) nearer(request *apiv1.SyncRequest) bool {
+	if request.PlacementVersion != 0 || request.DataCentre == r.o.DataCentre {
+		return false
+	}
+	now, v := r.o.Clock.Now(), r.view.Load()
+	return slices.ContainsFunc(v.members, func(member *apiv1.ReplicaInfo) bool {
+		return member.DataCentre == request.DataCentre && r.relay.Answered(now, member.Node, nearbyAge)
+	})
+}
+
 // Document returns the document in force as a quorum confirms it after the call, or an error if no
 // quorum does. It is nil while there is none.
 func (r *Replica) Document(ctx context.Context) (*apiv1.Document, error) {
@@ -101,32 +120,3 @@
 	}
 	return news.Snapshot != nil || len(news.Deltas) > 0 || len(response.Services) > 0 || (held && moved)
 }
-
-// builtPlacement is a placement with what it was built from.
-type builtPlacement struct {
-	head      *store.Head
-	view      *view
-	placement *apiv1.Placement
-}
-
-// placement tells nodes where control duties are. It is built once for each state.
-func (r *Replica) placement() *apiv1.Placement {
-	head, v := r.store.Head().Load(), r.view.Load()
-	if built := r.built.Load(); built != nil && built.head == head && built.view == v {
-		return built.placement
-	}
-	placement := &apiv1.Placement{
-		Replicas:   v.members,
-		RateOwners: head.Owners,
-		RateShards: head.RateShards,
-		RunShards:  head.RunShards,
-	}
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(placement)
-	if err != nil {
-		panic("control: a placement does not encode: " + err.Error())
-	}
-	placement.Version = max(1, xxhash.Sum64(data))
-	placement.Revision = head.Revision
-	r.built.Store(&builtPlacement{head, v, placement})
-	return placement
-}
--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -181,7 +181,7 @@
 		PlacementVersion: l.o.Board.Placement.Load().GetVersion(),
 	}
 	l.o.Directory.Fill(req)
-	if !l.confirmed() || (!l.o.AnnounceEarly && l.o.Directory.Source() == "") {
+	if !l.confirmed() || (!l.o.AnnounceEarly && !l.o.Directory.Vouched()) {
 		// Until its configuration is confirmed the node would refuse what its targets are sent,
 		// and until a replica vouches for its registry their sub-calls would find no target.
 		req.WaitNs = 0
--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -93,7 +93,7 @@
 				r.peer("b").livenessAt = time.Time{}
 				m := r.Outgoing(now, "b")
 				size = proto.Size(m)
-				r.Acknowledged(other.Merge(now, m))
+				r.Acknowledged(now, other.Merge(now, m))
 			}
 			b.ReportMetric(float64(size), "bytes/exchange")
 		})
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -22,9 +22,13 @@
 	nodes atomic.Uint32
 
 	mu sync.Mutex
-	// source names the replica to which versions belong.
-	source   string
+	// source names the replica to which versions belong; partial is set while it has not heard all nodes.
+	source  string
+	partial bool
+	// vouched is set once a replica that had heard all nodes has answered.
+	vouched  bool
 	versions map[string]uint64
+	digests  map[string]uint64
 }
 
 // NewDirectory returns an empty view.
@@ -33,6 +37,7 @@
 		section:  blackboard.NewSection(&View{Services: map[string][]*Target{}}),
 		wanted:   blackboard.NewSection(&map[string]struct{}{}),
 		versions: make(map[string]uint64),
+		digests:  make(map[string]uint64),
 	}
 }
 
@@ -70,33 +75,27 @@
 	return changed
 }
 
-// Versions returns the versions that the node holds of the services that it
-// follows; they belong to the replica that Source names.
-func (d *Directory) Versions() []*apiv1.ServiceVersion {
-	_, versions := d.held()
-	return versions
-}
-
-// Source returns the identity of the replica to which Versions belong.
-func (d *Directory) Source() string {
-	source, _ := d.held()
-	return source
+// Vouched reports whether a replica that had heard all nodes has answered since the process started.
+func (d *Directory) Vouched() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.vouched
 }
 
 // Fill sets the registry fields of a heartbeat that ask for updates.
 func (d *Directory) Fill(req *apiv1.SyncRequest) {
-	req.RegistrySource, req.Services = d.held()
-}
-
-func (d *Directory) held() (string, []*apiv1.ServiceVersion) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	wanted := *d.wanted.Load()
-	versions := make([]*apiv1.ServiceVersion, 0, len(wanted))
+	req.RegistrySource, req.RegistryPartial = d.source, d.partial
+	req.Services = make([]*apiv1.ServiceVersion, 0, len(wanted))
 	for _, service := range slices.Sorted(maps.Keys(wanted)) {
-		versions = append(versions, &apiv1.ServiceVersion{Service: service, Version: d.versions[service]})
+		req.Services = append(req.Services, &apiv1.ServiceVersion{
+			Service: service,
+			Version: d.versions[service],
+			Digest:  d.digests[service],
+		})
 	}
-	return d.source, versions
 }
 
 // Apply takes the registry updates of an answer over into the view. An answer
@@ -107,8 +106,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if resp.RegistrySource != "" && resp.RegistrySource != d.source {
-		d.source = resp.RegistrySource
+	if resp.RegistrySource != "" && (resp.RegistrySource != d.source || resp.RegistryPartial != d.partial) {
+		d.source, d.partial = resp.RegistrySource, resp.RegistryPartial
+		d.vouched = d.vouched || !d.partial
 		clear(d.versions)
 	}
 	if len(resp.Services) == 0 {
@@ -117,15 +117,36 @@
 	old := d.section.Load()
 	next := &View{Services: maps.Clone(old.Services), Version: old.Version + 1}
 	for _, update := range resp.Services {
-		targets := mergeTargets(old.Services[update.Service], update)
-		next.Services[update.Service] = targets
-		if !update.Partial {
-			d.versions[update.Service] = update.Version
-		}
+		d.apply(next, update)
 	}
 	d.section.Publish(next)
 }
 
+// apply takes one update over into a view. An update that builds on another version than the one held is not taken,
+// and the next heartbeat asks for all targets.
+func (d *Directory) apply(next *View, update *apiv1.ServiceUpdate) {
+	name := update.Service
+	if update.Base != 0 && update.Base != d.versions[name] {
+		delete(d.versions, name)
+		return
+	}
+	if !update.Unchanged {
+		targets := mergeTargets(next.Services[name], update)
+		next.Services[name] = targets
+		d.digests[name] = digestOfTargets(targets)
+	}
+	d.versions[name] = update.Version
+}
+
+// digestOfTargets returns the digest of a service's targets as replicas compute it.
+func digestOfTargets(targets []*Target) uint64 {
+	entries := make([]digestEntry, 0, len(targets))
+	for _, t := range targets {
+		entries = append(entries, digestEntry{t.ID(), t.Incarnation, t.Version, t.State})
+	}
+	return digestOf(entries)
+}
+
 // mergeTargets returns the targets of a service after an update. A record that
 // is older than the one held is not taken, since replicas differ for a moment.
 func mergeTargets(held []*Target, update *apiv1.ServiceUpdate) []*Target {
@@ -134,9 +155,14 @@
 		known[t.ID()] = t
 	}
 	merged := make(map[string]*Target, len(update.Targets))
-	if update.Partial {
+	if update.Partial || update.Base != 0 {
 		maps.Copy(merged, known)
 	}
+	if !update.Partial {
+		for _, id := range update.Hidden {
+			delete(merged, id)
+		}
+	}
 	for _, record := range update.Targets {
 		id := targetID(record.Node, record.Name)
 		if old := known[id]; old != nil && newer(old.Incarnation, old.Version, record.Incarnation, record.Version) {
--- a/internal/registry/exchange.go
+++ b/internal/registry/exchange.go
@@ -22,8 +22,9 @@
 	// that send their heartbeats here. greeting is set while such a message is on its way.
 	greeted  bool
 	greeting bool
-	// running is the incarnation that replied last.
-	running uint64
+	// running is the incarnation that replied last, answered the time of that reply.
+	running  uint64
+	answered time.Time
 
 	// incarnation, upto and echo are those of the last message that came from it.
 	incarnation uint64
@@ -184,6 +185,14 @@
 	}
 }
 
+// Answered reports whether the replica of the named node has replied within a time.
+func (r *Relay) Answered(now time.Time, name string, within time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[name]
+	return p != nil && !p.answered.IsZero() && now.Sub(p.answered) <= within
+}
+
 // restarted forgets what an earlier process of the other replica was told.
 func (p *replicaPeer) restarted(incarnation uint64) {
 	p.running = incarnation
@@ -196,13 +205,14 @@
 
 // Acknowledged takes over the reply to a message of Outgoing. It returns true when the
 // other replica still lacks the liveness of all nodes, so that the next message is due at once.
-func (r *Relay) Acknowledged(reply *apiv1.RelayMessage) (again bool) {
+func (r *Relay) Acknowledged(now time.Time, reply *apiv1.RelayMessage) (again bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.peer(reply.Source)
 	if reply.Incarnation < p.running {
 		return false
 	}
+	p.answered = now
 	if reply.Incarnation > p.running {
 		p.restarted(reply.Incarnation)
 	}
--- a/internal/registry/property_test.go
+++ b/internal/registry/property_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
 
 // inFlight is a message that the test delivers late, more than once, or never.
@@ -21,6 +23,8 @@
 	starts   []uint64
 	alive    []bool
 	pending  []inFlight
+	// views are of nodes that ask now this replica and now that one.
+	views []*Directory
 }
 
 func newChaos(t *rapid.T) *chaos {
@@ -28,6 +32,8 @@
 	for i := range 3 {
 		c.replicas = append(c.replicas, newReplica(fmt.Sprintf("r%d", i)))
 		c.hosts = append(c.hosts, newHost(fmt.Sprintf("h%d", i), 1))
+		c.views = append(c.views, NewDirectory())
+		c.views[i].Want("jadual")
 	}
 	return c
 }
@@ -89,7 +95,7 @@
 	m := a.Outgoing(c.now, b.options.Node)
 	c.pending = append(c.pending, func() {
 		reply := b.Merge(c.now, m)
-		c.pending = append(c.pending, func() { a.Acknowledged(reply) })
+		c.pending = append(c.pending, func() { a.Acknowledged(c.now, reply) })
 	})
 }
 
@@ -106,6 +112,17 @@
 	m()
 }
 
+// pull sends a view's heartbeat to any replica. The answer may be lost.
+func (c *chaos) pull() {
+	view, r := rapid.SampledFrom(c.views).Draw(c.t, "view"), c.replica("asked")
+	req, resp := &apiv1.SyncRequest{}, &apiv1.SyncResponse{}
+	view.Fill(req)
+	r.Fill(req, resp)
+	if rapid.IntRange(0, 3).Draw(c.t, "lost") > 0 {
+		view.Apply(resp)
+	}
+}
+
 func (c *chaos) pass() {
 	c.now = c.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(c.t, "ms")) * time.Millisecond)
 	for _, r := range c.replicas {
@@ -163,6 +180,7 @@
 			"announce": c.announce, "leave": c.leave, "restart": c.restart, "stop": c.stopOrStart,
 			"send": c.send, "send more": c.send, "relay": c.relay, "relay more": c.relay,
 			"deliver": c.deliver, "deliver more": c.deliver, "deliver most": c.deliver, "pass": c.pass,
+			"pull": c.pull, "pull more": c.pull,
 		}
 		kinds := make([]string, 0, len(steps))
 		for kind := range steps {
@@ -189,5 +207,11 @@
 		if !slices.Equal(want, got) {
 			c.t.Fatalf("%s, replica %s shows %v; %v exist", when, r.options.Node, got, want)
 		}
+		for i, view := range c.views {
+			pull(r, view)
+			if got := viewNames(view, "jadual"); !slices.Equal(want, got) {
+				c.t.Fatalf("%s, node %d holds %v by replica %s; %v exist", when, i, got, r.options.Node, want)
+			}
+		}
 	}
 }
--- a/internal/registry/relay.go
+++ b/internal/registry/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"sync"
 	"time"
 
@@ -99,15 +98,11 @@
 	position uint64
 	// since is the time of the last change.
 	since time.Time
-	// shown is the target as nodes see it; nil while it is hidden.
-	shown *apiv1.TargetRecord
-	flaps flapping
-}
-
-// service is the shown targets of one service.
-type service struct {
-	version uint64
-	targets map[string]*record
+	// shown is the target as nodes see it; nil while it is hidden. shownAt is the version of its service that
+	// it was last changed at.
+	shown   *apiv1.TargetRecord
+	shownAt uint64
+	flaps   flapping
 }
 
 // NewRelay returns an empty relay. It counts its warm-up from the first event.
@@ -354,57 +349,6 @@
 	return r.live, r.warm
 }
 
-// Updates returns the services whose targets differ from what the node holds.
-func (r *Relay) Updates(req *apiv1.SyncRequest) []*apiv1.ServiceUpdate {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.updates(req)
-}
-
-// Fill sets the registry fields of the answer to a heartbeat.
-func (r *Relay) Fill(req *apiv1.SyncRequest, resp *apiv1.SyncResponse) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	resp.Services = r.updates(req)
-	resp.Nodes = uint32(r.live)
-	if r.warm {
-		resp.RegistrySource = r.Source()
-	} else {
-		resp.Nodes = uint32(max(r.live, r.options.Expected))
-	}
-}
-
-// absentVersion is the version of a service that has no targets yet. It differs from 0,
-// by which a node says that it knows nothing, so that the node learns of the absence.
-const absentVersion = math.MaxUint64
-
-func (r *Relay) updates(req *apiv1.SyncRequest) []*apiv1.ServiceUpdate {
-	sameSource := req.RegistrySource == r.Source()
-	var updates []*apiv1.ServiceUpdate
-	for _, held := range req.Services {
-		s := r.services[held.Service]
-		if s == nil {
-			s = &service{version: absentVersion}
-		}
-		if r.warm && sameSource && held.Version == s.version {
-			continue
-		}
-		if !r.warm && len(s.targets) == 0 {
-			continue
-		}
-		updates = append(updates, r.update(held.Service, s))
-	}
-	return updates
-}
-
-func (r *Relay) update(name string, s *service) *apiv1.ServiceUpdate {
-	update := &apiv1.ServiceUpdate{Service: name, Version: s.version, Partial: !r.warm}
-	for _, rec := range s.targets {
-		update.Targets = append(update.Targets, rec.shown)
-	}
-	return update
-}
-
 // Expire hides the targets of nodes that were not heard in time, shows those
 // whose damping has ended, and forgets old tombstones. It is called a few times a second.
 func (r *Relay) Expire(now time.Time) {
--- a/internal/registry/relay_test.go
+++ b/internal/registry/relay_test.go
@@ -52,7 +52,7 @@
 
 // exchange passes the news of a on to b.
 func exchange(now time.Time, a, b *Relay) {
-	a.Acknowledged(b.Merge(now, a.Outgoing(now, b.options.Node)))
+	a.Acknowledged(now, b.Merge(now, a.Outgoing(now, b.options.Node)))
 }
 
 // names returns the targets of a service as a fresh node would see them.
--- a/internal/registry/show.go
+++ b/internal/registry/show.go
@@ -85,16 +85,10 @@
 	}
 	s := r.services[name]
 	if s == nil {
-		s = &service{targets: make(map[string]*record)}
+		s = newService()
 		r.services[name] = s
 	}
-	id := targetID(rec.message.Node, rec.message.Name)
-	if shown == nil {
-		delete(s.targets, id)
-	} else {
-		s.targets[id] = rec
-	}
-	s.version++
 	rec.shown = shown
+	s.note(targetID(rec.message.Node, rec.message.Name), rec)
 	r.wake()
 }
