Keep calls in a data centre while one of its targets has room

Change: before a call leaves, all targets of the data centre are looked at.

Measured: TestCallsStayWhileATargetOfTheDataCentreHasRoom.

--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -18,6 +18,8 @@
 	DefaultMaxEjected = 0.34
 	// DefaultSpillLoad is the share of a target's limit in use from which other data centres compete.
 	DefaultSpillLoad = 0.9
+	// drawn is the number of targets of a data centre that better compares.
+	drawn = 2
 	// spillAdvantage is the ratio of scores that makes a call leave its data centre.
 	spillAdvantage = 0.8
 	// shedRetryAfter and noTargetRetryAfter are told to refused callers.
@@ -219,6 +221,9 @@
 	if local != nil && !local.full(now, p.config.SpillLoad) {
 		return local
 	}
+	if roomy := p.withRoom(now, t.local, q, ejected); roomy != nil {
+		return roomy
+	}
 	remote := p.better(now, t.remote, q, ejected)
 	switch {
 	case local == nil:
@@ -236,6 +241,22 @@
 	return local
 }
 
+// withRoom returns the first eligible target from a random place on that is not full, or nil. Two drawn targets say
+// little of a data centre with many: with half of its slots in use, some are always full by chance.
+func (p *Picker) withRoom(now int64, entries []entry, q *Query, ejected bool) *entry {
+	if len(entries) <= drawn {
+		return nil
+	}
+	start := int(p.random() % uint64(len(entries)))
+	for i := range entries {
+		e := &entries[(start+i)%len(entries)]
+		if q.eligible(now, e, ejected) && !e.full(now, p.config.SpillLoad) {
+			return e
+		}
+	}
+	return nil
+}
+
 // better draws two targets and returns the one with the lower score, or nil.
 func (p *Picker) better(now int64, entries []entry, q *Query, ejected bool) *entry {
 	a := p.draw(now, entries, q, ejected, nil)
--- a/internal/route/picker_test.go
+++ b/internal/route/picker_test.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -212,3 +214,34 @@
 	})
 	require.Zero(t, allocations)
 }
+
+// TestCallsStayWhileATargetOfTheDataCentreHasRoom: half of the slots of a large service are in use, so that two targets
+// drawn at random are often both above the spill load. Calls leave the data centre only if all of its targets are.
+func TestCallsStayWhileATargetOfTheDataCentreHasRoom(t *testing.T) {
+	var targets []*registry.Target
+	for i := range 8 {
+		targets = append(targets, target(fmt.Sprintf("near-%d", i), "kl"), target(fmt.Sprintf("far-%d", i), "shah-alam"))
+	}
+	roomy := "near-5"
+	report := func(node string) Observation {
+		o := Observation{Kind: Success, Latency: 10 * time.Millisecond, Load: &apiv1.LoadReport{InFlight: 10, Limit: 10}}
+		if node == roomy || strings.HasPrefix(node, "far") {
+			o.Load.InFlight = 1
+		}
+		return o
+	}
+	p := picker(targets...)
+	picks(t, p, 100, report)
+	settled := picks(t, p, 200, report)
+	require.Equal(t, map[string]int{roomy: 200}, settled)
+
+	roomy = ""
+	picks(t, p, 100, report)
+	far := 0
+	for node, n := range picks(t, p, 200, report) {
+		if strings.HasPrefix(node, "far") {
+			far += n
+		}
+	}
+	require.Greater(t, far, 150)
+}
