Leave out of headers between nodes what the exchange before them said

Requests for rate tokens and the batches of the replicated log named their sender in each message, although the connection says it.

Change: both ends of a stream keep the last header of each direction; equal groups of fields, header fields and the node of the key are left out, ids of hexadecimal groups travel as bytes. Lease requests and log messages leave out the sender. The protocol version is 2. A header that builds on nothing ends the exchange.

--- a/internal/control/network.go
+++ b/internal/control/network.go
@@ -119,12 +119,13 @@
 	defer cancel()
 	identity := s.r.view.Load().identity
 	batch := &apiv1.RaftBatch{
-		Cluster:     identity.Cluster,
-		From:        identity.Replica,
-		Incarnation: s.r.o.Identity.Incarnation,
-		Address:     s.r.o.Address,
-		Messages:    messages,
+		Cluster:  identity.Cluster,
+		From:     identity.Replica,
+		To:       messages[0].To,
+		Address:  s.r.o.Address,
+		Messages: messages,
 	}
+	shrinkBatch(batch)
 	s.batches.Add(1)
 	s.messages.Add(uint64(len(messages)))
 	s.bytes.Add(uint64(proto.Size(batch)))
@@ -138,6 +139,30 @@
 	}
 }
 
+// shrinkBatch leaves out of the messages what the batch says for them.
+func shrinkBatch(b *apiv1.RaftBatch) {
+	for _, m := range b.Messages {
+		if m.From == b.From {
+			m.From = 0
+		}
+		if m.To == b.To {
+			m.To = 0
+		}
+	}
+}
+
+// restoreBatch is the inverse of shrinkBatch.
+func restoreBatch(b *apiv1.RaftBatch) {
+	for _, m := range b.Messages {
+		if m.From == 0 {
+			m.From = b.From
+		}
+		if m.To == 0 {
+			m.To = b.To
+		}
+	}
+}
+
 // register sets the handlers of all methods that replicas and nodes call.
 func (r *Replica) register() {
 	s := r.o.Server
@@ -163,7 +188,10 @@
 			return packOwners(resp), err
 		})
 	peer.HandleUnary(s, apiv1.Method_METHOD_LEASE, newOf[apiv1.LeaseRequest],
-		func(ctx context.Context, _ peer.Identity, m *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error) {
+		func(ctx context.Context, from peer.Identity, m *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error) {
+			if m.Node == "" {
+				m.Node, m.Incarnation = from.Node, from.Incarnation
+			}
 			return r.Lease(ctx, m)
 		})
 	peer.HandleUnary(s, apiv1.Method_METHOD_RUN, newOf[apiv1.RunRequest],
@@ -181,7 +209,7 @@
 }
 
 // handleRaft takes the messages of another replica.
-func (r *Replica) handleRaft(_ context.Context, _ peer.Identity, b *apiv1.RaftBatch) (*apiv1.RaftBatchReply, error) {
+func (r *Replica) handleRaft(_ context.Context, from peer.Identity, b *apiv1.RaftBatch) (*apiv1.RaftBatchReply, error) {
 	v := r.view.Load()
 	if v.identity.Cluster == 0 || b.Cluster != v.identity.Cluster {
 		return nil, errors.Errorf("replica %x belongs to cluster %x, this one to %x", b.From, b.Cluster, v.identity.Cluster)
@@ -189,9 +217,11 @@
 	if v.removed(b.From) {
 		return &apiv1.RaftBatchReply{Removed: true}, nil
 	}
+	restoreBatch(b)
 	posted := r.post(func(now time.Time) {
-		r.known[b.From] = knownReplica{address: b.Address, incarnation: b.Incarnation}
+		r.known[b.From] = knownReplica{address: b.Address, incarnation: from.Incarnation}
 		for _, m := range b.Messages {
+			// A host that lost its disk is another replica at the same address: what is meant for the former one must not reach it.
 			if m.From == b.From && m.To == v.identity.Replica {
 				r.engine.step(now, m)
 			}
--- a/internal/node/sender.go
+++ b/internal/node/sender.go
@@ -89,7 +89,7 @@
 	return s.through(ctx, r)
 }
 
-// direct asks the owner itself.
+// direct asks the owner itself, which knows this node from the connection.
 func (s leaseSender) direct(ctx context.Context, address string, r *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error) {
 	if s.others.relays != nil {
 		var cancel context.CancelFunc
@@ -97,7 +97,8 @@
 		defer cancel()
 	}
 	resp := &apiv1.LeaseResponse{}
-	err := peer.Unary(ctx, s.pool, address, apiv1.Method_METHOD_LEASE, r, resp)
+	short := &apiv1.LeaseRequest{Sequence: r.Sequence, Shard: r.Shard, Epoch: r.Epoch, Demands: r.Demands}
+	err := peer.Unary(ctx, s.pool, address, apiv1.Method_METHOD_LEASE, short, resp)
 	s.others.note(address, time.Now(), err == nil)
 	return resp, err
 }
--- a/internal/peer/adversary_test.go
+++ b/internal/peer/adversary_test.go
@@ -42,7 +42,7 @@
 		require.NoError(t, err)
 		control, err := session.Accept()
 		require.NoError(t, err)
-		writeRaw(t, control, &apiv1.ControlFrame{Hello: &apiv1.Hello{Node: "x", ProtocolVersion: 1}})
+		writeRaw(t, control, &apiv1.ControlFrame{Hello: &apiv1.Hello{Node: "x", ProtocolVersion: 2}})
 		stream, err := session.Accept()
 		require.NoError(t, err)
 		// The other end closes the stream before the end of an oversize header.
@@ -92,7 +92,7 @@
 func TestGarbageEndsOnlyItsConnection(t *testing.T) {
 	hello := []proto.Message{
 		&apiv1.StreamHeader{Method: apiv1.Method_METHOD_CONTROL},
-		&apiv1.ControlFrame{Hello: &apiv1.Hello{Node: "x", ProtocolVersion: 1}},
+		&apiv1.ControlFrame{Hello: &apiv1.Hello{Node: "x", ProtocolVersion: 2}},
 	}
 	garbage := bytes.Repeat([]byte{0xff}, 1<<10)
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -87,7 +87,7 @@
 // end may answer before it has read all of it.
 func (x *exchange) sendCall(h *apiv1.CallHeader, body io.Reader) error {
 	buf := newFrameBuffer()
-	if err := x.addHeader(buf, h); err != nil {
+	if err := x.addHeader(buf, x.memory.shrinkCall(h, x.conn.self)); err != nil {
 		buf.release()
 		return err
 	}
@@ -178,6 +178,10 @@
 		x.close(false)
 		return nil, x.failure(errors.Wrap(err, "receive answer"))
 	}
+	if err := x.memory.restoreAnswer(header, key); err != nil {
+		x.close(false)
+		return nil, x.failure(err)
+	}
 	if !sameKey(header.Key, key) {
 		// The other end mixes up its calls: nothing on this connection can be trusted.
 		_ = x.conn.session.Close()
--- /dev/null
+++ b/internal/peer/compact.go
@@ -0,0 +1,264 @@
+package peer
+
+import (
+	"encoding/hex"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+)
+
+// Most of a header repeats that of the exchange before it on the same stream: the connection leads to one node, mostly to
+// one target. Both ends of a stream keep the last header of each direction, and what is equal is not sent again.
+
+// Bits of CallHeader.same.
+const (
+	sameService uint32 = 1 << iota
+	sameTarget
+	sameOrganisation
+	sameClass
+	sameMethod
+	sameRoute
+	sameHost
+	sameCaller
+)
+
+const (
+	// groupBytes and groupDigits are the sizes of one hexadecimal group of a request id.
+	groupBytes  = 8
+	groupDigits = 2 * groupBytes
+)
+
+// errMissingContext is returned for a header that leaves out what no header before it had.
+var errMissingContext = errors.New("the header builds on one that did not come before it")
+
+// headerMemory is what one end of a stream keeps of its last headers. The exchanges of a stream follow one another.
+type headerMemory struct {
+	// call is that of the last call; begun is set once there was one.
+	call   callFields
+	begun  bool
+	fields []field
+	answer []field
+}
+
+// callFields are the fields of a call that are left out if they repeat.
+type callFields struct {
+	service, target, organisation, class string
+	weight                               float64
+	priority                             uint32
+	method, route, host, caller          string
+}
+
+// field is an HTTP header field.
+type field struct{ name, value string }
+
+// shrinkCall returns a header as it travels from node self. The header itself stays as it is.
+func (m *headerMemory) shrinkCall(h *apiv1.CallHeader, self Identity) *apiv1.CallHeader {
+	out := &apiv1.CallHeader{
+		Key: h.Key, RequestId: h.RequestId, Service: h.Service, Target: h.Target, Organisation: h.Organisation,
+		Weight: h.Weight, Class: h.Class, Priority: h.Priority, Depth: h.Depth, TimeoutNs: h.TimeoutNs,
+		Allowance: h.Allowance, Level: h.Level, KeyNumber: h.KeyNumber, Idempotent: h.Idempotent, Method: h.Method,
+		Path: h.Path, ContentLength: h.ContentLength, Attempt: h.Attempt, Route: h.Route, Host: h.Host,
+		CallerService: h.CallerService, MaxWaitNs: h.MaxWaitNs, Repeat: h.Repeat,
+	}
+	if h.Key.GetNode() == self.Node && h.Key.GetIncarnation() == self.Incarnation {
+		out.Key = &apiv1.CallKey{Number: h.Key.GetNumber()}
+	}
+	if groups, ok := packGroups(h.RequestId); ok {
+		out.RequestId, out.RequestGroups = "", groups
+	}
+	next := fieldsOf(h)
+	if m.begun {
+		omitSame(out, next.sameAs(&m.call))
+	}
+	m.call, m.begun = next, true
+	out.Headers, m.fields = shrinkFields(h.Headers, m.fields)
+	return out
+}
+
+// fieldsOf returns the fields of a call that may repeat.
+func fieldsOf(h *apiv1.CallHeader) callFields {
+	return callFields{
+		service: h.Service, target: h.Target, organisation: h.Organisation, class: h.Class, weight: h.Weight,
+		priority: h.Priority, method: h.Method, route: h.Route, host: h.Host, caller: h.CallerService,
+	}
+}
+
+// sameAs returns the groups of fields that are equal.
+func (f *callFields) sameAs(old *callFields) uint32 {
+	var same uint32
+	for _, group := range []struct {
+		bit   uint32
+		equal bool
+	}{
+		{sameService, f.service == old.service},
+		{sameTarget, f.target == old.target},
+		{sameOrganisation, f.organisation == old.organisation},
+		{sameClass, f.class == old.class && f.weight == old.weight && f.priority == old.priority},
+		{sameMethod, f.method == old.method},
+		{sameRoute, f.route == old.route},
+		{sameHost, f.host == old.host},
+		{sameCaller, f.caller == old.caller},
+	} {
+		if group.equal {
+			same |= group.bit
+		}
+	}
+	return same
+}
+
+// omitSame takes out of a header what it has in common with the one before it.
+func omitSame(h *apiv1.CallHeader, same uint32) {
+	h.Same = same
+	copySame(h, &callFields{}, same)
+}
+
+// copySame sets groups of fields of a header.
+func copySame(h *apiv1.CallHeader, from *callFields, groups uint32) {
+	if groups&sameService != 0 {
+		h.Service = from.service
+	}
+	if groups&sameTarget != 0 {
+		h.Target = from.target
+	}
+	if groups&sameOrganisation != 0 {
+		h.Organisation = from.organisation
+	}
+	if groups&sameClass != 0 {
+		h.Class, h.Weight, h.Priority = from.class, from.weight, from.priority
+	}
+	if groups&sameMethod != 0 {
+		h.Method = from.method
+	}
+	if groups&sameRoute != 0 {
+		h.Route = from.route
+	}
+	if groups&sameHost != 0 {
+		h.Host = from.host
+	}
+	if groups&sameCaller != 0 {
+		h.CallerService = from.caller
+	}
+}
+
+// restoreCall completes a header that came from a node.
+func (m *headerMemory) restoreCall(h *apiv1.CallHeader, from Identity) error {
+	restoreKey(h.GetKey(), &apiv1.CallKey{Node: from.Node, Incarnation: from.Incarnation})
+	if len(h.RequestGroups) > 0 {
+		h.RequestId, h.RequestGroups = unpackGroups(h.RequestGroups), nil
+	}
+	if h.Same != 0 {
+		if !m.begun {
+			return errMissingContext
+		}
+		copySame(h, &m.call, h.Same)
+		h.Same = 0
+	}
+	m.call, m.begun = fieldsOf(h), true
+	var err error
+	m.fields, err = restoreFields(h.Headers, m.fields)
+	return err
+}
+
+// shrinkAnswer returns the header of an answer as it travels to the node that opened the exchange.
+func (m *headerMemory) shrinkAnswer(h *apiv1.AnswerHeader) *apiv1.AnswerHeader {
+	out := &apiv1.AnswerHeader{
+		Key: &apiv1.CallKey{Number: h.Key.GetNumber()}, Refusal: h.Refusal, Status: h.Status,
+		ContentLength: h.ContentLength, Load: h.Load, PassedOn: h.PassedOn,
+	}
+	out.Headers, m.answer = shrinkFields(h.Headers, m.answer)
+	return out
+}
+
+// restoreAnswer completes the header of an answer to a call.
+func (m *headerMemory) restoreAnswer(h *apiv1.AnswerHeader, call *apiv1.CallKey) error {
+	restoreKey(h.GetKey(), call)
+	var err error
+	m.answer, err = restoreFields(h.Headers, m.answer)
+	return err
+}
+
+// restoreKey completes a key of which only the number travelled.
+func restoreKey(key, full *apiv1.CallKey) {
+	if key != nil && key.Node == "" && key.Incarnation == 0 {
+		key.Node, key.Incarnation = full.GetNode(), full.GetIncarnation()
+	}
+}
+
+// shrinkFields returns header fields without what they have in common with those before them, and what to keep of them.
+// The memory of old is used again.
+func shrinkFields(fields []*apiv1.HeaderField, old []field) (out []*apiv1.HeaderField, kept []field) {
+	kept = old[:0]
+	short := make([]apiv1.HeaderField, len(fields))
+	out = make([]*apiv1.HeaderField, len(fields))
+	for i, f := range fields {
+		out[i] = &short[i]
+		out[i].Name, out[i].Value = f.Name, f.Value
+		if i < len(old) && old[i].name == f.Name {
+			switch {
+			case old[i].value == f.Value:
+				out[i].Name, out[i].Value = "", ""
+			case f.Value != "":
+				out[i].Name = ""
+			}
+		}
+		kept = append(kept, field{f.Name, f.Value})
+	}
+	return out, kept
+}
+
+// restoreFields completes header fields in place and returns what to keep of them. The memory of old is used again.
+func restoreFields(fields []*apiv1.HeaderField, old []field) (kept []field, err error) {
+	kept = old[:0]
+	for i, f := range fields {
+		if f.GetName() == "" {
+			if i >= len(old) {
+				return nil, errMissingContext
+			}
+			f.Name = old[i].name
+			if f.Value == "" {
+				f.Value = old[i].value
+			}
+		}
+		kept = append(kept, field{f.Name, f.Value})
+	}
+	return kept, nil
+}
+
+// packGroups returns an id of hexadecimal groups, joined by dots, as bytes.
+func packGroups(id string) ([]byte, bool) {
+	if (len(id)+1)%(groupDigits+1) != 0 || id != strings.ToLower(id) {
+		return nil, false
+	}
+	packed := make([]byte, 0, (len(id)+1)/(groupDigits+1)*groupBytes)
+	for len(id) > 0 {
+		var err error
+		if packed, err = hex.AppendDecode(packed, []byte(id[:groupDigits])); err != nil {
+			return nil, false
+		}
+		id = id[groupDigits:]
+		if id == "" {
+			return packed, true
+		}
+		if id[0] != '.' || len(id) == 1 {
+			return nil, false
+		}
+		id = id[1:]
+	}
+	return nil, false
+}
+
+// unpackGroups is the inverse of packGroups.
+func unpackGroups(packed []byte) string {
+	var id []byte
+	for len(packed) > 0 {
+		if len(id) > 0 {
+			id = append(id, '.')
+		}
+		n := min(groupBytes, len(packed))
+		id = hex.AppendEncode(id, packed[:n])
+		packed = packed[n:]
+	}
+	return string(id)
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -15,6 +15,7 @@
 // conn is the opening end of one connection.
 type conn struct {
 	session Session
+	self    Identity
 	remote  Identity
 	control *controlWriter
 	idle    idleStreams
@@ -55,6 +56,7 @@
 	}
 	c := &conn{
 		session: session,
+		self:    id,
 		remote:  remote,
 		control: newControlWriter(stream, traffic, remote),
 		traffic: traffic,
@@ -170,7 +172,7 @@
 		return clientStream{}, err
 	}
 	stream = c.traffic.count(stream)
-	return clientStream{stream: stream, reader: newReader(stream)}, nil
+	return clientStream{stream: stream, reader: newReader(stream), memory: &headerMemory{}}, nil
 }
 
 // readControl handles the frames that the accepting end sends on the control stream.
--- a/internal/peer/idle.go
+++ b/internal/peer/idle.go
@@ -14,6 +14,7 @@
 type clientStream struct {
 	stream net.Conn
 	reader *bufio.Reader
+	memory *headerMemory
 }
 
 func (s clientStream) close() {
--- a/internal/peer/incoming.go
+++ b/internal/peer/incoming.go
@@ -70,6 +70,7 @@
 
 	ctx      context.Context
 	stream   net.Conn
+	memory   *headerMemory
 	buf      *frameBuffer
 	body     incomingBody
 	out      bodyWriter
@@ -95,14 +96,18 @@
 	return in
 }
 
-func (ss *serverSession) serveCall(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) bool {
+func (ss *serverSession) serveCall(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader, memory *headerMemory) bool {
 	call := &apiv1.CallHeader{}
 	if err := readFrame(reader, call, maxHeaderBytes); err != nil {
 		return false
 	}
+	if err := memory.restoreCall(call, ss.remote); err != nil {
+		return false
+	}
 	ctx, end := ss.begin(header.Number, stream)
 	defer end()
 	in := ss.newIncoming(ctx, stream, reader, call)
+	in.memory = memory
 	if refusal := ss.refuseCall(ss.server.call == nil); refusal != nil {
 		return in.refuse(refusal)
 	}
@@ -110,7 +115,7 @@
 	return in.end()
 }
 
-func (ss *serverSession) serveAttach(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader) bool {
+func (ss *serverSession) serveAttach(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader, memory *headerMemory) bool {
 	attach := &apiv1.AttachRequest{}
 	if err := readFrame(reader, attach, maxHeaderBytes); err != nil {
 		return false
@@ -118,6 +123,7 @@
 	ctx, end := ss.begin(header.Number, stream)
 	defer end()
 	in := ss.newIncoming(ctx, stream, reader, &apiv1.CallHeader{Key: attach.Key})
+	in.memory = memory
 	// The request has no body.
 	in.body.reader.err = io.EOF
 	if refusal := ss.refuseCall(ss.server.attach == nil); refusal != nil {
@@ -158,7 +164,7 @@
 	in.answered = true
 	in.refused = h.Refusal != nil
 	in.hold = in.refused || (h.ContentLength >= 0 && h.ContentLength <= inlineBodyBytes)
-	return in.buf.add(h)
+	return in.buf.add(in.memory.shrinkAnswer(h))
 }
 
 // Write sends a part of the answer's body. It blocks while the caller's window
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -4,7 +4,7 @@
 
 const (
 	// protocolVersion is compared in Hello; ends with different versions don't talk.
-	protocolVersion = 1
+	protocolVersion = 2
 
 	// pingInterval is the time between pings while exchanges are in flight.
 	pingInterval = 250 * time.Millisecond
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -274,7 +274,8 @@
 func (ss *serverSession) serveStream(stream net.Conn) {
 	reader := newReader(stream)
 	defer releaseReader(reader)
-	for ss.serveExchange(stream, reader) {
+	memory := &headerMemory{}
+	for ss.serveExchange(stream, reader, memory) {
 		if b, ok := stream.(shrinker); ok {
 			b.Shrink()
 		}
@@ -283,7 +284,7 @@
 
 // serveExchange reads the headers of an exchange and runs its handler. It
 // returns true when the other end was told that the stream can be used again.
-func (ss *serverSession) serveExchange(stream net.Conn, reader *bufio.Reader) bool {
+func (ss *serverSession) serveExchange(stream net.Conn, reader *bufio.Reader, memory *headerMemory) bool {
 	var header apiv1.StreamHeader
 	if err := readFrame(reader, &header, maxControlBytes); err != nil {
 		return false
@@ -293,9 +294,9 @@
 	defer ss.server.options.Traffic.settle(header.Method, ss.remote, stream)
 	switch header.Method {
 	case apiv1.Method_METHOD_CALL:
-		return ss.serveCall(stream, reader, &header)
+		return ss.serveCall(stream, reader, &header, memory)
 	case apiv1.Method_METHOD_ATTACH:
-		return ss.serveAttach(stream, reader, &header)
+		return ss.serveAttach(stream, reader, &header, memory)
 	default:
 		return ss.serveUnary(stream, reader, &header)
 	}
