Leave targets that turn slow before they are full

Change: latencies are kept for each route and target; a target at 2.5 times the lower quartile of the others, by its answers or by the lack of them, gets calls only when no other has room, and one call tries it again when that has faded.

What is left there: answers lost by reset at the service before it, whose repeats would repeat calls, and calls on hosts that went dark, which take a second to notice.

--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -28,6 +28,10 @@
 // a queue half as long pays for the way, small differences don't.
 const directFullAdvantage = 0.5
 
+// directSlowPace is the ratio of latencies from which a target counts as slow. Targets of one service that are well
+// differ by less than half of it.
+const directSlowPace = 2.5
+
 // routeConfig returns how targets are chosen; nil stands for the defaults.
 func (p *Process) routeConfig() *route.Config {
 	if p.o.settings.DirectAddress == "" {
@@ -37,6 +41,8 @@
 	config.SlowStart = directSlowStart
 	config.SpillLoad = directSpillLoad
 	config.FullAdvantage = directFullAdvantage
+	config.SlowPace = directSlowPace
+	config.LookAround = true
 	return &config
 }
 
--- a/internal/route/member.go
+++ b/internal/route/member.go
@@ -39,6 +39,7 @@
 	drainingUntilNs atomic.Int64
 	ejectedUntilNs  atomic.Int64
 	rampFromNs      atomic.Int64
+	paces           paces
 	// reportedLoad and reportedLimit are requests at the target by its last report.
 	reportedLoad  atomic.Int64
 	reportedLimit atomic.Int64
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -18,8 +18,6 @@
 	DefaultMaxEjected = 0.34
 	// DefaultSpillLoad is the share of a target's limit in use from which other data centres compete.
 	DefaultSpillLoad = 0.9
-	// drawn is the number of targets of a data centre that better compares.
-	drawn = 2
 	// spillAdvantage is the ratio of scores that makes a call leave its data centre.
 	spillAdvantage = 0.8
 	// shedRetryAfter and noTargetRetryAfter are told to refused callers.
@@ -39,6 +37,12 @@
 	// FullAdvantage is the ratio of scores that makes a call leave its data centre for a target that is full too;
 	// 0 keeps it there.
 	FullAdvantage float64
+	// LookAround makes calls look at all targets of a data centre, and not only at two that are drawn, before they go to one
+	// that is full or slow.
+	LookAround bool
+	// SlowPace is the ratio of a target's latency to that of the faster targets from which it gets calls only when no other
+	// has room; 0 turns that off.
+	SlowPace float64
 	// Ejected, if set, is told of each target that is ejected, and for how long.
 	Ejected func(t *registry.Target, pause time.Duration)
 	// Cutoffs is shared by the pickers of a node; nil gives the picker its own.
@@ -103,6 +107,7 @@
 	cutoffs    *Cutoffs
 	// latencyNs is the smoothed latency over all targets.
 	latencyNs atomic.Int64
+	pace      references
 
 	mu      sync.Mutex
 	members map[string]known
@@ -189,7 +194,12 @@
 		}
 	}
 	e.inFlight.Add(1)
-	return Choice{picker: p, entry: *e, route: q.Route, organisation: q.Organisation}, nil
+	choice := Choice{picker: p, entry: *e, route: q.Route, organisation: q.Organisation}
+	if p.config.SlowPace > 0 {
+		choice.latency = e.paces.add(q.Route)
+		choice.latency.begin(now)
+	}
+	return choice, nil
 }
 
 // sheds reports whether the cutoff in force refuses a call.
@@ -217,14 +227,23 @@
 // choose returns the best of the targets drawn, or nil. The second pass takes ejected ones.
 func (p *Picker) choose(now int64, q *Query, ejected bool) *entry {
 	t := p.table.Load()
+	reference := p.reference(now, q.Route, t)
+	if retried := p.slowOneDue(now, t.local, q, ejected, reference); retried != nil {
+		return retried
+	}
 	local := p.better(now, t.local, q, ejected)
-	if local != nil && !local.full(now, p.config.SpillLoad) {
+	if local != nil && p.fit(now, local, q.Route, reference) {
 		return local
 	}
-	if roomy := p.withRoom(now, t.local, q, ejected); roomy != nil {
-		return roomy
+	if fit := p.firstFit(now, t.local, q, ejected, reference); fit != nil {
+		return fit
 	}
 	remote := p.better(now, t.remote, q, ejected)
+	if remote != nil && !p.fit(now, remote, q.Route, reference) {
+		if fit := p.firstFit(now, t.remote, q, ejected, reference); fit != nil {
+			remote = fit
+		}
+	}
 	switch {
 	case local == nil:
 		return remote
@@ -241,16 +260,46 @@
 	return local
 }
 
-// withRoom returns the first eligible target from a random place on that is not full, or nil. Two drawn targets say
-// little of a data centre with many: with half of its slots in use, some are always full by chance.
-func (p *Picker) withRoom(now int64, entries []entry, q *Query, ejected bool) *entry {
-	if len(entries) <= drawn {
+// slowOneDue draws a target and returns it if it was slow and is to be tried again, or nil.
+func (p *Picker) slowOneDue(now int64, entries []entry, q *Query, ejected bool, reference int64) *entry {
+	if reference == 0 {
+		return nil
+	}
+	e := p.draw(now, entries, q, ejected, nil)
+	if e == nil || !e.paces.due(now, q.Route, p.config.SlowPace, reference) {
+		return nil
+	}
+	return e
+}
+
+// fit reports whether a target has room and keeps the pace of the others of its service.
+func (p *Picker) fit(now int64, e *entry, route string, reference int64) bool {
+	return !e.full(now, p.config.SpillLoad) && !e.paces.slow(now, route, p.config.SlowPace, reference)
+}
+
+// reference returns the latency of the faster targets for a route; 0 while too little is known, or nothing asks for it.
+func (p *Picker) reference(now int64, route string, t *table) int64 {
+	if p.config.SlowPace <= 0 {
+		return 0
+	}
+	return p.pace.of(now, route, t)
+}
+
+// slowFrom returns the latency in nanoseconds from which a target is slow for a route, by the last reference.
+func (p *Picker) slowFrom(route string) int64 {
+	return int64(p.config.SlowPace * float64(p.pace.last(route)))
+}
+
+// firstFit returns the first eligible target from a random place on that fits, or nil. Two drawn targets say little of
+// a data centre with many: with half of its slots in use, some are always full by chance.
+func (p *Picker) firstFit(now int64, entries []entry, q *Query, ejected bool, reference int64) *entry {
+	if !p.config.LookAround || len(entries) == 0 {
 		return nil
 	}
 	start := int(p.random() % uint64(len(entries)))
 	for i := range entries {
 		e := &entries[(start+i)%len(entries)]
-		if q.eligible(now, e, ejected) && !e.full(now, p.config.SpillLoad) {
+		if q.eligible(now, e, ejected) && p.fit(now, e, q.Route, reference) {
 			return e
 		}
 	}
@@ -334,6 +383,8 @@
 	entry        entry
 	route        string
 	organisation string
+	// latency is nil if paces are not compared.
+	latency *latency
 }
 
 // Target returns the chosen target.
@@ -346,6 +397,9 @@
 	p, m := c.picker, c.entry.member
 	now := p.now()
 	m.inFlight.Add(-1)
+	if c.latency != nil {
+		c.latency.end(now)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if o.Load != nil {
@@ -355,11 +409,15 @@
 	at := p.origin.Add(time.Duration(now))
 	switch o.Kind {
 	case Success:
+		if m.paces.observe(now, c.route, o.Latency, p.slowFrom(c.route)) {
+			m.latencyNs.Store(0)
+		}
 		m.observeLatency(now, o.Latency)
 		p.observeLatency(o.Latency)
 		m.health.succeed(at)
 	case TimedOut:
 		m.observeLatency(now, max(o.Latency, time.Duration(m.latencyNs.Load())))
+		m.paces.observeAtLeast(now, c.route, o.Latency, p.slowFrom(c.route))
 		p.failed(now, c.entry, 1)
 	case Failure:
 		p.failed(now, c.entry, 1)
--- a/internal/route/picker_test.go
+++ b/internal/route/picker_test.go
@@ -230,7 +230,10 @@
 		}
 		return o
 	}
-	p := picker(targets...)
+	config := DefaultConfig()
+	config.LookAround = true
+	p := NewPicker(config, "kl", clock.System{}, 1)
+	p.Update(targets)
 	picks(t, p, 100, report)
 	settled := picks(t, p, 200, report)
 	require.Equal(t, map[string]int{roomy: 200}, settled)
