Send nodes home only to replicas that can vouch

Cause: sent a node that had just started to the replica in its data centre if that had answered a relay message.

Change: replies between replicas say whether a quorum confirmed the replier within 0.75 s; a node is sent there, and its client goes there early, only then. A client goes early once, and looks again at the interval as before.

Measured: TestNodesAreNotSentToAReplicaThatCannotVouch, TestClientGoesHomeAsSoonAsItKnowsTheReplicas.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -52,6 +52,9 @@
 	current  string
 	avoid    map[string]time.Time
 	lookHome time.Time
+	// nearer is set while a replica in the own data centre is known to vouch, wentEarly once the client went there for that.
+	nearer    bool
+	wentEarly bool
 }
 
 // NewClient returns a client that starts from the addresses of some replicas.
@@ -86,6 +89,13 @@
 	c.owners = placement.RateOwners
 }
 
+// setNearer notes whether a replica in the own data centre vouches, as the last one that answered knows.
+func (c *Client) setNearer(nearer bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nearer = nearer
+}
+
 // candidates lists the addresses to try: the current one, those of the own data centre, the rest. Each
 // part is shuffled; replicas that failed lately come last.
 func (c *Client) candidates(now time.Time) []string {
@@ -102,7 +112,7 @@
 			away = append(away, replica.Address)
 		}
 	}
-	if len(home) > 0 && now.After(c.lookHome) {
+	if c.goesHome(now) && len(home) > 0 {
 		c.lookHome = now.Add(homeInterval)
 		if !slices.Contains(home, c.current) {
 			c.current = home[0]
@@ -115,6 +125,19 @@
 	return list
 }
 
+// goesHome reports whether it is time to look for a replica in the own data centre: at intervals, and once as soon as one is
+// known to vouch. The caller holds mu.
+func (c *Client) goesHome(now time.Time) bool {
+	if c.lookHome.IsZero() {
+		c.lookHome = now.Add(homeInterval)
+	}
+	if c.nearer && !c.wentEarly {
+		c.wentEarly = true
+		return true
+	}
+	return now.After(c.lookHome)
+}
+
 // shuffled returns all known replicas in random order. The caller holds mu.
 func (c *Client) shuffled() []*apiv1.ReplicaInfo {
 	list := slices.Clone(c.replicas)
@@ -245,6 +268,7 @@
 	if err == nil {
 		unpackOwners(got.response)
 		c.Learn(got.response.Placement)
+		c.setNearer(got.response.GetNearer())
 	}
 	return got.response, err
 }
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -20,6 +20,8 @@
 	c.Learn(&apiv1.Placement{Replicas: []*apiv1.ReplicaInfo{
 		{Address: "seed-1", DataCentre: "penang"}, {Address: "seed-2", DataCentre: "johor"}, {Address: "home", DataCentre: "kl"},
 	}})
+	require.NotEqual(t, "home", c.candidates(now.Add(time.Millisecond))[0], "it may have lost its disk, and vouches for nothing yet")
+	c.setNearer(true)
 	require.Equal(t, "home", c.candidates(now.Add(time.Millisecond))[0])
 
 	// A home replica that fails is left for the others, and not tried again with each heartbeat.
--- a/internal/control/network.go
+++ b/internal/control/network.go
@@ -172,7 +172,10 @@
 	peer.HandleUnary(s, apiv1.Method_METHOD_RAFT, newOf[apiv1.RaftBatch], r.handleRaft)
 	peer.HandleUnary(s, apiv1.Method_METHOD_RELAY, newOf[apiv1.RelayMessage],
 		func(_ context.Context, _ peer.Identity, m *apiv1.RelayMessage) (*apiv1.RelayMessage, error) {
-			return r.relay.Merge(r.o.Clock.Now(), m), nil
+			now := r.o.Clock.Now()
+			reply := r.relay.Merge(now, m)
+			reply.Vouches = r.vouches(now)
+			return reply, nil
 		})
 	peer.HandleUnary(s, apiv1.Method_METHOD_CONTROL, newOf[apiv1.ControlRequest],
 		func(ctx context.Context, _ peer.Identity, m *apiv1.ControlRequest) (*apiv1.ControlReply, error) {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -17,8 +17,12 @@
 	// newsGap is how long news of targets is gathered before an answer. Targets that are announced at the same time, as when a
 	// fleet starts, then cost one answer for a node and not one each. A drain has seconds to be known everywhere.
 	newsGap = 50 * time.Millisecond
-	// nearbyAge is how long ago a replica must have answered at most for nodes to be sent to it: its exchanges are a second apart.
+	// nearbyAge is how long ago a replica must have said at most that it vouches for nodes to be sent to it: exchanges are a second
+	// apart.
 	nearbyAge = 2 * relayInterval
+	// vouchAge is how long ago its last quorum round must have begun at most for a replica to say so. Rounds that renew the
+	// ownership of rate shards are a tenth of that apart.
+	vouchAge = 10 * ownershipRenewal
 )
 
 // Sync takes over what a node announces, vouches for the revision, and answers with what
@@ -40,7 +44,9 @@
 	}
 	response.Vouched = true
 	response.VouchedRevision = confirmation.head.Revision
-	if r.nearer(request) {
+	response.Nearer = r.nearer(request)
+	if response.Nearer && request.PlacementVersion == 0 {
+		// The configuration and the registry come from there.
 		response.Placement = r.placement()
 		return response, nil
 	}
@@ -64,18 +70,24 @@
 	}
 }
 
-// nearer reports whether a node that does not know the replicas yet has one in its own data centre. It is told of the
-// replicas only, so that the configuration and the registry come from there.
+// nearer reports whether a node has a replica in its own data centre that vouches, while this one is elsewhere.
 func (r *Replica) nearer(request *apiv1.SyncRequest) bool {
-	if request.PlacementVersion != 0 || request.DataCentre == r.o.DataCentre {
+	if request.DataCentre == r.o.DataCentre {
 		return false
 	}
 	now, v := r.o.Clock.Now(), r.view.Load()
 	return slices.ContainsFunc(v.members, func(member *apiv1.ReplicaInfo) bool {
-		return member.DataCentre == request.DataCentre && r.relay.Answered(now, member.Node, nearbyAge)
+		return member.DataCentre == request.DataCentre && r.relay.Vouching(now, member.Node, nearbyAge)
 	})
 }
 
+// vouches reports whether a quorum has confirmed this replica's state lately. One that has just lost its disk answers
+// others long before it can.
+func (r *Replica) vouches(now time.Time) bool {
+	state := r.ownership.state.Load()
+	return state != nil && now.Sub(state.started) <= vouchAge
+}
+
 // Document returns the document in force as a quorum confirms it after the call, or an error if no
 // quorum does. It is nil while there is none.
 func (r *Replica) Document(ctx context.Context) (*apiv1.Document, error) {
--- a/internal/registry/exchange.go
+++ b/internal/registry/exchange.go
@@ -22,9 +22,9 @@
 	// that send their heartbeats here. greeting is set while such a message is on its way.
 	greeted  bool
 	greeting bool
-	// running is the incarnation that replied last, answered the time of that reply.
-	running  uint64
-	answered time.Time
+	// running is the incarnation that replied last, vouched the time of its last reply that said that it vouches.
+	running uint64
+	vouched time.Time
 
 	// incarnation, upto and echo are those of the last message that came from it.
 	incarnation uint64
@@ -185,17 +185,18 @@
 	}
 }
 
-// Answered reports whether the replica of the named node has replied within a time.
-func (r *Relay) Answered(now time.Time, name string, within time.Duration) bool {
+// Vouching reports whether the replica of the named node has said within a time that it can vouch for a revision.
+func (r *Relay) Vouching(now time.Time, name string, within time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.peers[name]
-	return p != nil && !p.answered.IsZero() && now.Sub(p.answered) <= within
+	return p != nil && !p.vouched.IsZero() && now.Sub(p.vouched) <= within
 }
 
 // restarted forgets what an earlier process of the other replica was told.
 func (p *replicaPeer) restarted(incarnation uint64) {
 	p.running = incarnation
+	p.vouched = time.Time{}
 	p.held = 0
 	p.reading = 0
 	p.livenessAt = time.Time{}
@@ -212,7 +213,9 @@
 	if reply.Incarnation < p.running {
 		return false
 	}
-	p.answered = now
+	if reply.Vouches {
+		p.vouched = now
+	}
 	if reply.Incarnation > p.running {
 		p.restarted(reply.Incarnation)
 	}
