End with the exit code for faulty settings when the settings file is faulty

Cause: the help says 2 for a faulty setting, guavaford platform ended with 1; an address that is missing beside a target or is no IP number was found later, as a failed listen without the name of the file.

--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/guavaford/guavaford/internal/operator"
+	"github.com/guavaford/guavaford/platform"
 )
 
 // The exit codes of every command.
@@ -105,9 +106,12 @@
 	var exit *exitError
 	var problem *operator.Problem
 	var noAnswer *operator.NoAnswer
+	var faulty *platform.SettingsError
 	switch {
 	case errors.As(err, &exit):
 		return exit.code
+	case errors.As(err, &faulty):
+		return ExitUsage
 	case errors.As(err, &problem):
 		return problemExits[problem.Code]
 	case errors.As(err, &noAnswer) && noAnswer.Applied == operator.AppliedUnknown:
