Tell at once which replicas can vouch

Cause: since nodes are sent home only to replicas that vouch, but that was told in replies a second apart, and a replica without rate shards and heartbeats had no quorum round to show: a founding fleet of 30 fetched 5.1 kB a node from elsewhere, bound 4 kB (TestFoundingCostsEachNodeTheSame failed).

Change: messages between replicas tell it too, the first confirmed round of a process wakes the exchange, and a round goes out with each exchange.

--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -64,7 +64,10 @@
 		current[key] = since
 	}
 	o.since = current
-	o.state.Store(&confirmedOwners{started: started, owners: head.Owners})
+	if o.state.Swap(&confirmedOwners{started: started, owners: head.Owners}) == nil {
+		// The other replicas learn at once that this one vouches now.
+		o.r.relay.Wake()
+	}
 }
 
 // own reports whether this very process is the owner: a restarted one has forgotten
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -133,6 +133,8 @@
 // relayToAll exchanges the registry with every other replica at once.
 func (r *Replica) relayToAll(ctx context.Context) {
 	v := r.view.Load()
+	// Without heartbeats and rate shards nothing else would show that this replica can vouch.
+	r.start(func() { r.confirm(ctx) })
 	for _, member := range v.members {
 		if member.Id == v.identity.Replica {
 			continue
@@ -145,7 +147,9 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	for range relayRounds {
-		message := r.relay.Outgoing(r.o.Clock.Now(), member.Node)
+		now := r.o.Clock.Now()
+		message := r.relay.Outgoing(now, member.Node)
+		message.Vouches = r.vouches(now)
 		reply := &apiv1.RelayMessage{}
 		if err := peer.Unary(ctx, r.o.Pool, member.Address, apiv1.Method_METHOD_RELAY, message, reply); err != nil {
 			return
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -20,9 +20,9 @@
 	// nearbyAge is how long ago a replica must have said at most that it vouches for nodes to be sent to it: exchanges are a second
 	// apart.
 	nearbyAge = 2 * relayInterval
-	// vouchAge is how long ago its last quorum round must have begun at most for a replica to say so. Rounds that renew the
-	// ownership of rate shards are a tenth of that apart.
-	vouchAge = 10 * ownershipRenewal
+	// vouchAge is how long ago its last quorum round must have begun at most for a replica to say so. A round goes out with each
+	// exchange.
+	vouchAge = 2 * relayInterval
 )
 
 // Sync takes over what a node announces, vouches for the revision, and answers with what
--- a/internal/registry/exchange.go
+++ b/internal/registry/exchange.go
@@ -22,7 +22,7 @@
 	// that send their heartbeats here. greeting is set while such a message is on its way.
 	greeted  bool
 	greeting bool
-	// running is the incarnation that replied last, vouched the time of its last reply that said that it vouches.
+	// running is the incarnation that replied last, vouched the time of its last message or reply that said that it vouches.
 	running uint64
 	vouched time.Time
 
@@ -124,6 +124,9 @@
 			r.wake()
 		}
 	}
+	if m.Vouches {
+		p.vouched = now
+	}
 	touched := make(map[*node]struct{})
 	for _, record := range m.Records {
 		if n := r.admitNode(now, record.Node, record.Incarnation); n != nil {
--- a/internal/registry/relay.go
+++ b/internal/registry/relay.go
@@ -180,6 +180,13 @@
 	r.wake()
 }
 
+// Wake makes those who wait for changes look again.
+func (r *Relay) Wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wake()
+}
+
 func (r *Relay) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
