--- a/internal/route/pace.go
+++ b/internal/route/pace.go
@@ -20,7 +20,8 @@
 	referenceQuantile = 0.25
 	// referenceInterval is the time for which a reference holds.
 	referenceInterval = 100 * time.Millisecond
-	// maxPacedRoutes bounds the routes that are told apart; those beyond count as one.
+	// maxPacedRoutes bounds the routes that are kept. Routes come and go with changes of the configuration: when there are more, all
+	// are forgotten, and those in use are learned again.
 	maxPacedRoutes = 256
 )
 
@@ -78,13 +79,12 @@
 	defer p.mu.Unlock()
 	grown := make(map[string]*latency)
 	if known := p.byRoute.Load(); known != nil {
-		if len(*known) >= maxPacedRoutes {
-			route = ""
-		}
 		if found := (*known)[route]; found != nil {
 			return found
 		}
-		maps.Copy(grown, *known)
+		if len(*known) < maxPacedRoutes {
+			maps.Copy(grown, *known)
+		}
 	}
 	added := &latency{}
 	grown[route] = added
@@ -150,6 +150,7 @@
 // references holds the latency of the faster targets for each route. It is safe for concurrent use.
 type references struct {
 	byRoute sync.Map // string to *reference
+	routes  atomic.Int64
 }
 
 // reference is a latency in nanoseconds and the time at which it was worked out.
@@ -171,6 +172,10 @@
 func (r *references) of(now int64, route string, t *table) int64 {
 	found, ok := r.byRoute.Load(route)
 	if !ok {
+		if r.routes.Add(1) > maxPacedRoutes {
+			r.byRoute.Clear()
+			r.routes.Store(1)
+		}
 		found, _ = r.byRoute.LoadOrStore(route, &reference{})
 	}
 	ref := found.(*reference)
--- a/internal/route/pace_test.go
+++ b/internal/route/pace_test.go
@@ -136,3 +136,19 @@
 	require.Less(t, counts["near"], 20)
 	require.Less(t, late, 10, "%v", counts)
 }
+
+// TestRoutesThatAreGoneAreForgotten: the configuration changes hundreds of times a day, and routes get new names.
+func TestRoutesThatAreGoneAreForgotten(t *testing.T) {
+	s := newSlowService([]*registry.Target{target("a", "kl"), target("b", "kl")}, nil)
+	for i := range 3 * maxPacedRoutes {
+		c, refusal := s.picker.Pick(Query{Route: fmt.Sprint("route-", i)})
+		require.Nil(t, refusal)
+		c.Done(Observation{Kind: Success, Latency: time.Millisecond})
+	}
+	for _, m := range s.picker.members {
+		require.LessOrEqual(t, len(*m.paces.byRoute.Load()), maxPacedRoutes)
+	}
+	kept := 0
+	s.picker.pace.byRoute.Range(func(any, any) bool { kept++; return true })
+	require.LessOrEqual(t, kept, maxPacedRoutes)
+}
