--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -21,6 +21,12 @@
 // until its slow start is over. Targets that leave, drain or are excluded by the query are
 // not drawn.
 //
+// # Slow targets
+//
+// With Config.SlowPace, latencies are kept for each route. A target whose calls take, or have gone without an answer
+// for, a multiple of what the faster targets take gets calls only when no other has room. One call tries it again after a
+// while. With Config.LookAround, all targets of the data centre are looked at before a call goes to one that is full or slow.
+//
 // # Ejection
 //
 // A target whose recent calls failed is left out for a while, longer each time. At most a
