--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -28,8 +28,8 @@
 // a queue half as long pays for the way, small differences don't.
 const directFullAdvantage = 0.5
 
-// directSlowPace is the ratio of latencies from which a target counts as slow. Targets of one service that are well
-// differ by less than half of it.
+// directSlowPace is the ratio of latencies from which a target counts as slow. TestTargetsThatTurnSlowAreLeft checks it
+// against targets that take twelve times as long, amid times of work that differ by 30%.
 const directSlowPace = 2.5
 
 // routeConfig returns how targets are chosen; nil stands for the defaults.
