upstream: let the test wait until the bytes behind an answer have arrived

The stand-in wrote the answer and the garbage in two writes, so the next request could be sent before the garbage existed, which no transport can see; it then got an error, as it must.

--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -123,14 +123,21 @@
 }
 
 func TestConnectionWithBytesBehindTheAnswerIsNotUsedAgain(t *testing.T) {
-	for name, pause := range map[string]time.Duration{"at once": 0, "later": 20 * time.Millisecond} {
+	for name, join := range map[string]bool{"in the same write": true, "in a later write": false} {
 		t.Run(name, func(t *testing.T) {
+			written := make(chan struct{})
 			s := startTarget(t, func(conn net.Conn, r *http.Request, n int) bool {
-				say(conn, ok(r.Header.Get(idField), "yes"))
-				if n == 1 {
-					time.Sleep(pause)
+				answer := ok(r.Header.Get(idField), "yes")
+				switch {
+				case n > 1:
+					say(conn, answer)
+				case join:
+					say(conn, answer+"garbage")
+				default:
+					say(conn, answer)
 					say(conn, "garbage")
 				}
+				written <- struct{}{}
 				return true
 			})
 			tr := newTransport()
@@ -138,13 +145,35 @@
 				body, err := exchangeWith(t, tr, s, id, nil)
 				require.NoError(t, err)
 				require.Equal(t, "yes", body)
-				time.Sleep(3 * pause)
+				// The transport can only see bytes that have arrived.
+				<-written
 			}
 			require.EqualValues(t, 2, s.conns.Load())
 		})
 	}
 }
 
+func TestBytesThatArriveAfterTheNextRequestWasSentAreNoAnswer(t *testing.T) {
+	s := startTarget(t, func(conn net.Conn, r *http.Request, n int) bool {
+		if n == 2 {
+			say(conn, "garbage")
+		}
+		say(conn, ok(r.Header.Get(idField), "yes"))
+		return true
+	})
+	tr := newTransport()
+	_, err := exchangeWith(t, tr, s, "a", nil)
+	require.NoError(t, err)
+	body, err := exchangeWith(t, tr, s, "b", nil)
+	require.Error(t, err)
+	require.Empty(t, body)
+	require.EqualValues(t, 1, s.conns.Load())
+	body, err = exchangeWith(t, tr, s, "c", nil)
+	require.NoError(t, err)
+	require.Equal(t, "yes", body)
+	require.EqualValues(t, 2, s.conns.Load())
+}
+
 func TestConnectionThatTheTargetClosedIsNotUsedAgain(t *testing.T) {
 	s := startTarget(t, func(conn net.Conn, r *http.Request, _ int) bool {
 		say(conn, ok(r.Header.Get(idField), "yes"))
