registry: only the running process of a replica says that it vouches

Cause: found by reading. A late relay message of an earlier process of a replica, whose incarnation was not below the last one merged, set the time at which the replica vouched, although a reply had shown a newer process. Besides, the first reply of a new process was forgotten: it was noted before the restart cleared it. TestNodesAreNotSentToAReplicaThatCannotVouch could not show this, as its wait after the cut held at once.

Change: messages below the running incarnation do not count, and replies count after the restart is noted.

--- a/internal/registry/exchange.go
+++ b/internal/registry/exchange.go
@@ -124,7 +124,8 @@
 			r.wake()
 		}
 	}
-	if m.Vouches {
+	// A late message of an earlier process does not speak for the one that runs.
+	if m.Vouches && m.Incarnation >= p.running {
 		p.vouched = now
 	}
 	touched := make(map[*node]struct{})
@@ -216,12 +217,12 @@
 	if reply.Incarnation < p.running {
 		return false
 	}
-	if reply.Vouches {
-		p.vouched = now
-	}
 	if reply.Incarnation > p.running {
 		p.restarted(reply.Incarnation)
 	}
+	if reply.Vouches {
+		p.vouched = now
+	}
 	p.greeted = p.greeted || p.greeting
 	p.held = reply.Held
 	p.reading = max(p.reading, reply.ReadingNs)
