--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -34,4 +34,7 @@
 // CallError.Silent set. New exchanges go over a new connection meanwhile. The
 // accepting end expects pings while exchanges are in flight and closes the
 // connection when they stay away. An idle connection is not pinged.
+//
+// A call waits for less: for a connection only as long as another target could still be
+// tried, and, if it may be repeated, for its answer only while the other end answers pings.
 package peer
