control: log who votes, and who answers an election that fails

Now each change of the members names voters and learners, admissions and removals on request are logged, a replica without a leader says each five seconds who votes and who granted or refused its vote, and a start says what the data folder held. No change of logic: a refused vote is only remembered. go test ./internal/replica ./internal/control passes.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -36,6 +36,7 @@
 	}
 	r.assignShards(now)
 	r.spreadLeaders(now)
+	r.logElections(now)
 }
 
 // advanceMembership takes one step: in group 0 learners that have caught up become voters;
@@ -58,7 +59,7 @@
 		r.o.Log.Debug("membership step refused", "group", number, "err", err)
 		return
 	}
-	r.o.Log.Info("membership changes", "group", number, "replicas", len(next.Replicas))
+	r.logMembership(number, next)
 }
 
 // silentVoter is the time without a sign of life after which a replica that stands by takes the
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -274,6 +274,10 @@
 	if errors.Is(err, replica.ErrChangePending) {
 		return false, nil
 	}
+	if err == nil {
+		r.o.Log.Info("replica asks for admission", "replica", joiner.Id, "node", joiner.Node)
+		r.logMembership(0, next)
+	}
 	return false, err
 }
 
@@ -318,7 +322,12 @@
 	if len(next.Replicas) == len(core.Membership().Replicas) {
 		return errors.Errorf("replica %d is not a member", id)
 	}
-	return core.ProposeMembership(now, next)
+	if err := core.ProposeMembership(now, next); err != nil {
+		return err
+	}
+	r.o.Log.Info("replica removed on request", "replica", id)
+	r.logMembership(0, next)
+	return nil
 }
 
 // without returns a membership that lacks one replica.
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -81,6 +81,8 @@
 	stamps  []stamp
 	balance balance
 	failure error
+	// leaderless has an entry for each group.
+	leaderless []leaderless
 
 	workers sync.WaitGroup
 }
@@ -130,6 +132,9 @@
 	}
 	r.publish()
 	r.register()
+	voters, learners := memberNodes(&apiv1.Membership{Replicas: r.view.Load().members})
+	r.o.Log.Info("data folder opened", "replica", log.Identity().Replica, "cluster", log.Identity().Cluster,
+		"groups", len(recovered), "voters", voters, "learners", learners)
 	return r, nil
 }
 
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
@@ -162,7 +163,14 @@
 }
 
 func (c *Core) stepPreVoteReply(m *apiv1.RaftMessage) {
-	if c.role != PreCandidate || m.Reject || m.Term != c.term+1 {
+	if c.role != PreCandidate {
+		return
+	}
+	if m.Reject {
+		c.votes[m.From] = false
+		return
+	}
+	if m.Term != c.term+1 {
 		return
 	}
 	c.votes[m.From] = true
@@ -181,10 +189,10 @@
 }
 
 func (c *Core) stepVoteReply(m *apiv1.RaftMessage) {
-	if c.role != Candidate || m.Reject {
+	if c.role != Candidate {
 		return
 	}
-	c.votes[m.From] = true
+	c.votes[m.From] = !m.Reject
 	if c.wins() {
 		c.becomeLeader()
 	}
@@ -207,6 +215,21 @@
 	return c.role
 }
 
+// Votes lists who has granted this replica its vote, or would, in the election that it holds, and who
+// has refused. Both are empty while it holds none.
+func (c *Core) Votes() (granted, refused []uint64) {
+	for id, yes := range c.votes {
+		if yes {
+			granted = append(granted, id)
+		} else {
+			refused = append(refused, id)
+		}
+	}
+	slices.Sort(granted)
+	slices.Sort(refused)
+	return granted, refused
+}
+
 // Term returns the current term.
 func (c *Core) Term() uint64 {
 	return c.term
