--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -26,6 +26,8 @@
 	names  []string
 	hosts  map[string]*testHost
 	next   uint64
+	// voters is the fixed number of voters; 0 lets every replica vote.
+	voters int
 }
 
 // testHost is one host: its disk outlives its processes.
@@ -37,12 +39,19 @@
 	pool    *peer.Pool
 	cancel  context.CancelFunc
 	stopped chan error
+	// joins is true for a host that was added to the running cluster.
+	joins bool
 }
 
 // inCluster runs a test with n replicas that have founded a cluster.
 func inCluster(t *testing.T, n int, fn func(c *cluster)) {
+	inClusterOf(t, n, 0, fn)
+}
+
+// inClusterOf is inCluster with a fixed number of voters.
+func inClusterOf(t *testing.T, n, voters int, fn func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, net: memnet.New(1), hosts: map[string]*testHost{}, origin: time.Now()}
+		c := &cluster{t: t, net: memnet.New(1), hosts: map[string]*testHost{}, origin: time.Now(), voters: voters}
 		c.net.SetLatency(func(string, string) memnet.Link {
 			return memnet.Link{Delay: time.Millisecond, Jitter: time.Millisecond}
 		})
@@ -60,6 +69,15 @@
 	})
 }
 
+// add starts a host that joins the running cluster.
+func (c *cluster) add() string {
+	name := fmt.Sprintf("host-%d", len(c.names)+1)
+	c.hosts[name] = &testHost{name: name, fs: vfs.NewMem(), joins: true}
+	c.start(name)
+	c.names = append(c.names, name)
+	return name
+}
+
 // close ends everything, also after a failure.
 func (c *cluster) close() {
 	for _, name := range c.names {
@@ -76,13 +94,19 @@
 	transport := c.net.Host(name)
 	h.pool = peer.NewPool(id, transport, peer.PoolOptions{Seed: c.next})
 	server := peer.NewServer(id, peer.ServerOptions{})
+	initial, seeds := c.names, []string(nil)
+	if h.joins {
+		initial, seeds = nil, c.names
+	}
 	replica, err := Open(Options{
 		DataFolder:      "data",
 		FS:              h.fs,
 		Identity:        id,
 		Address:         name,
 		DataCentre:      "dc-" + name,
-		InitialReplicas: c.names,
+		InitialReplicas: initial,
+		Seeds:           seeds,
+		Voters:          c.voters,
 		Pool:            h.pool,
 		Server:          server,
 		Check:           func([]*apiv1.Resource) []string { return nil },
@@ -132,15 +156,22 @@
 func (c *cluster) eventually(limit time.Duration, condition func() bool) time.Duration {
 	c.t.Helper()
 	started := time.Now()
-	for !condition() {
-		if time.Since(started) > limit {
-			c.t.Fatalf("condition not met within %v", limit)
-		}
-		time.Sleep(10 * time.Millisecond)
+	if !c.within(limit, condition) {
+		c.t.Fatalf("condition not met within %v", limit)
 	}
 	return time.Since(started)
 }
 
+// within waits for a condition, and reports whether it was met in time.
+func (c *cluster) within(limit time.Duration, condition func() bool) bool {
+	for end := time.Now().Add(limit); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 // settled reports whether all groups have a leader and n voters at every running replica.
 func (c *cluster) settled(n int) bool {
 	for _, h := range c.hosts {
