control: a replica that was replaced while it was away stands by again

Cause: with a fixed number of voters a standby takes the place of a voter that is silent for 2 s. When the silent one, which had only been cut off, was reached again, the leader told it that it was no member, and its process ended, each time that it was started. Its host, alive and with its disk, never counted again. With another host replaced as planned, two voters of five were gone for good, and the two lost disks that the fleet must bear left no quorum.

Change: such a replica keeps its identity, vote and log, and asks for admission when it has heard no leader for a second; it becomes a learner and takes the next place that gets free. It can tell no other way: it gets no more of the log, and a leader that it does not know is never among those that it asks for votes. Only an operator's removal is for good; the membership names these replicas, and any replica can tell.

TestLostAdmissionIsAskedForAgain now asks the founder whether a replica that was never admitted counts as removed; the function that it called is gone.

--- a/internal/cli/replicas.go
+++ b/internal/cli/replicas.go
@@ -52,10 +52,11 @@
 func removeReplicaCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "remove",
-		Usage:     "take a replica out of the membership, so that it no longer counts for the quorum",
+		Usage:     "take a replica out of the membership for good, so that it no longer counts for the quorum",
 		ArgsUsage: "ID",
 		Description: "Only for a host that does not come back. A host that lost its disk needs no removal:\n" +
-			"it joins again under a new id, and its old replica is replaced.",
+			"it joins again under a new id, and its old replica is replaced. The process of a removed\n" +
+			"replica ends; it joins again only with an empty data folder.",
 		Flags: clientFlags(),
 		Action: withClient(func(ctx context.Context, c *cli.Command, client *operator.Client) error {
 			id, err := strconv.ParseUint(c.Args().First(), 10, 64)
--- a/internal/control/diagnose.go
+++ b/internal/control/diagnose.go
@@ -14,35 +14,22 @@
 	leaderlessPause = 5 * time.Second
 )
 
-// leaderless is since when a group has no known leader, and when that was logged last.
-type leaderless struct {
-	since  time.Time
-	logged time.Time
-}
-
 // logElections tells why groups have no leader: who votes, and who has answered. It runs on the loop.
 func (r *Replica) logElections(now time.Time) {
-	for len(r.leaderless) < len(r.engine.groups) {
-		r.leaderless = append(r.leaderless, leaderless{})
+	for len(r.electionLogged) < len(r.engine.groups) {
+		r.electionLogged = append(r.electionLogged, time.Time{})
 	}
 	for i, g := range r.engine.groups {
-		state := &r.leaderless[i]
-		if g.core.Leader() != 0 {
-			*state = leaderless{}
-			continue
-		}
-		if state.since.IsZero() {
-			state.since = now
-		}
-		if now.Sub(state.since) < leaderlessAfter || now.Sub(state.logged) < leaderlessPause {
+		since := r.view.Load().leaderlessSince(uint32(i))
+		if since.IsZero() || now.Sub(since) < leaderlessAfter || now.Sub(r.electionLogged[i]) < leaderlessPause {
 			continue
 		}
-		state.logged = now
+		r.electionLogged[i] = now
 		membership := g.core.Membership()
 		granted, refused := g.core.Votes()
 		last, commit, _ := g.core.Indexes()
 		voters, _ := memberNodes(membership)
-		r.o.Log.Warn("no leader elected", "group", i, "for", now.Sub(state.since), "term", g.core.Term(), "voters", voters,
+		r.o.Log.Warn("no leader elected", "group", i, "for", now.Sub(since), "term", g.core.Term(), "voters", voters,
 			"granted", nodesOf(membership, granted), "refused", nodesOf(membership, refused), "last", last, "commit", commit)
 	}
 }
--- a/internal/control/failure_test.go
+++ b/internal/control/failure_test.go
@@ -413,8 +413,11 @@
 	require.NoError(t, joiner.engine.process())
 	joiner.publish()
 	require.False(t, joiner.view.Load().admitted)
-	joiner.removed()
-	require.NoError(t, joiner.failure, "a replica that was never admitted was not removed either")
+	founder.publish()
+	identity := joiner.log.Identity()
+	reply, err := founder.handleRaft(context.Background(), peer.Identity{Node: identity.Node}, &apiv1.RaftBatch{Cluster: identity.Cluster, From: identity.Replica})
+	require.NoError(t, err)
+	require.False(t, reply.Removed, "a replica that was never admitted was not removed either")
 	w.until(10*time.Second, w.whole, "it is admitted after all")
 }
 
--- a/internal/control/invariants_test.go
+++ b/internal/control/invariants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,9 +72,42 @@
 	}
 }
 
+// TestInvariantsWhileVotersAreReplaced runs the faults with replicas that stand by: a voter that is silent loses its
+// place, and a replica that returns takes one.
+func TestInvariantsWhileVotersAreReplaced(t *testing.T) {
+	var replaced atomic.Uint64
+	t.Cleanup(func() { require.Positive(t, replaced.Load(), "some standby took the place of a voter") })
+	seeds := seedsOfEachPair
+	if testing.Short() {
+		seeds = shortSeeds
+	}
+	for i, faults := range faultPairs() {
+		for s := range seeds {
+			seed := uint64(i*seedsOfEachPair + s + 1)
+			t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+				t.Parallel()
+				w := newWorldOf(t, seed, 4+s%3, 3, faultSet{})
+				w.until(10*time.Second, w.whole, "all hosts are members")
+				before, _ := memberNodes(w.hosts[0].replica.engine.groups[0].core.Membership())
+				w.run(faults)
+				after, _ := memberNodes(w.hosts[0].replica.engine.groups[0].core.Membership())
+				if !slices.Equal(before, after) {
+					replaced.Add(1)
+				}
+			})
+		}
+	}
+}
+
 func runFaults(t *testing.T, seed uint64, hosts int, faults faultSet) *world {
 	w := newWorld(t, seed, hosts, faultSet{})
 	w.until(10*time.Second, w.whole, "all hosts are voters")
+	w.run(faults)
+	return w
+}
+
+// run disturbs the hosts, lets them recover, and checks what they hold.
+func (w *world) run(faults faultSet) {
 	w.faults = faults
 	for end := w.now.Add(disturbedTime); w.now.Before(end); w.step() {
 		w.disturb()
@@ -95,7 +129,6 @@
 	w.until(10*time.Second, idle, "all outcomes are known")
 	w.until(10*time.Second, w.converged, "all replicas hold the same revision")
 	w.checkAccepted()
-	return w
 }
 
 // checkAccepted checks that every replica holds every acknowledged change, under its revision.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -19,29 +19,43 @@
 // Times of the steps by which a replica enters a cluster.
 const (
 	enterPause     = 250 * time.Millisecond
-	memberPause    = 2 * time.Second
+	memberPause    = 500 * time.Millisecond
 	controlTimeout = time.Second
+	// readmitAfter is longer than an election that nothing hinders.
+	readmitAfter = time.Second
+	// maxExpelled bounds the replicas that are remembered as removed by an operator.
+	maxExpelled = 64
 )
 
 // keepMembership makes this replica a member: it founds the cluster, or asks for admission until
-// the membership shows it under its present address.
+// the membership shows it under its present address. A replica that was replaced while it was away asks again.
 func (r *Replica) keepMembership(ctx context.Context) {
 	pause := enterPause
 	for clock.Sleep(ctx, pause/2+rand.N(pause/2)) {
 		v := r.view.Load()
-		if v.admitted {
-			pause = memberPause
-			continue
-		}
 		pause = enterPause
-		if v.identity.Cluster == 0 {
+		switch {
+		case v.identity.Cluster == 0:
 			r.enter(ctx)
-			continue
+		case r.needsAdmission(v):
+			r.join(ctx, r.knownAddresses(v))
+		default:
+			pause = memberPause
 		}
-		r.join(ctx, r.knownAddresses(v))
 	}
 }
 
+// needsAdmission reports whether this replica is to ask for admission: it is no member, or it may have lost its
+// place without hearing of it. A replica that was replaced gets no more of the log, so its own log
+// still names it; that it hears no leader is all it can tell.
+func (r *Replica) needsAdmission(v *view) bool {
+	if !v.admitted {
+		return true
+	}
+	since := v.leaderlessSince(0)
+	return !since.IsZero() && r.o.Clock.Now().Sub(since) >= readmitAfter && !r.stopping.Load()
+}
+
 // admitted reports whether the committed membership names this replica as it is now. An admission that
 // is not committed may still be lost with the leader that proposed it.
 func (r *Replica) admitted() bool {
@@ -50,13 +64,6 @@
 	return member != nil && member.Address == info.Address && member.DataCentre == info.DataCentre
 }
 
-// removed ends this replica if it was a member; one that was never admitted goes on asking.
-func (r *Replica) removed() {
-	if find(r.engine.groups[0].core.CommittedMembership(), r.log.Identity().Replica) != nil {
-		r.fail(ErrRemoved)
-	}
-}
-
 // SetSeeds replaces the addresses of replicas of a running cluster to join.
 func (r *Replica) SetSeeds(addresses []string) {
 	r.seeds.Store(&addresses)
@@ -263,6 +270,9 @@
 		return false, errors.New("this replica belongs to no cluster yet")
 	}
 	core := r.engine.groups[0].core
+	if slices.Contains(core.Membership().Expelled, joiner.Id) {
+		return false, ErrRemoved
+	}
 	next := admission(core.Membership(), joiner)
 	if next == nil {
 		return true, nil
@@ -285,7 +295,7 @@
 // An older replica of the same node goes first: its data folder is lost, and while it is
 // a member it counts for the quorum without ever answering.
 func admission(current *apiv1.Membership, joiner *apiv1.ReplicaInfo) *apiv1.Membership {
-	next := &apiv1.Membership{}
+	next := &apiv1.Membership{Expelled: current.Expelled}
 	known := false
 	replaced := false
 	for _, member := range current.Replicas {
@@ -315,10 +325,12 @@
 	return next
 }
 
-// remove takes a replica out of the membership. It runs on the loop of the leader of group 0.
+// remove takes a replica out of the membership for good. It runs on the loop of the leader of group 0.
 func (r *Replica) remove(now time.Time, id uint64) error {
 	core := r.engine.groups[0].core
 	next := without(core.Membership(), id)
+	next.Expelled = append(next.Expelled, id)
+	next.Expelled = next.Expelled[max(0, len(next.Expelled)-maxExpelled):]
 	if len(next.Replicas) == len(core.Membership().Replicas) {
 		return errors.Errorf("replica %d is not a member", id)
 	}
@@ -332,7 +344,7 @@
 
 // without returns a membership that lacks one replica.
 func without(m *apiv1.Membership, id uint64) *apiv1.Membership {
-	next := &apiv1.Membership{}
+	next := &apiv1.Membership{Expelled: slices.Clone(m.Expelled)}
 	for _, member := range m.Replicas {
 		if member.Id != id {
 			next.Replicas = append(next.Replicas, member)
--- a/internal/control/network.go
+++ b/internal/control/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -136,7 +137,7 @@
 		return
 	}
 	if reply.Removed {
-		s.r.post(func(time.Time) { s.r.removed() })
+		s.r.post(func(time.Time) { s.r.fail(ErrRemoved) })
 	}
 }
 
@@ -216,9 +217,12 @@
 	if v.identity.Cluster == 0 || b.Cluster != v.identity.Cluster {
 		return nil, errors.Errorf("replica %x belongs to cluster %x, this one to %x", b.From, b.Cluster, v.identity.Cluster)
 	}
-	if v.removed(b.From) {
+	if slices.Contains(v.expelled, b.From) {
 		return &apiv1.RaftBatchReply{Removed: true}, nil
 	}
+	if v.replaced(b.From) {
+		return &apiv1.RaftBatchReply{}, nil
+	}
 	restoreBatch(b)
 	posted := r.post(func(now time.Time) {
 		r.known[b.From] = knownReplica{address: b.Address, incarnation: from.Incarnation}
@@ -235,9 +239,9 @@
 	return &apiv1.RaftBatchReply{}, nil
 }
 
-// removed reports whether a replica is known not to be a member any more. Only a settled
-// leader of group 0 can tell.
-func (v *view) removed(id uint64) bool {
+// replaced reports whether a replica is known not to be a member any more, and has to ask for admission.
+// Only a settled leader of group 0 can tell.
+func (v *view) replaced(id uint64) bool {
 	if len(v.groups) == 0 || !v.groups[0].settled {
 		return false
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -45,7 +45,7 @@
 
 // Errors that end Serve.
 var (
-	ErrRemoved = errors.New("this replica was removed from the cluster; it can join anew with an empty data folder")
+	ErrRemoved = errors.New("an operator removed this replica from the cluster; it can join anew with an empty data folder")
 	// ErrNoQuorum is returned by reads that no quorum confirms.
 	ErrNoQuorum = errors.New("no quorum confirms the revision")
 	// ErrStopped is returned by requests to a replica that does not run.
@@ -81,8 +81,8 @@
 	stamps  []stamp
 	balance balance
 	failure error
-	// leaderless has an entry for each group.
-	leaderless []leaderless
+	// electionLogged is when the lack of a leader was logged last, for each group.
+	electionLogged []time.Time
 
 	workers sync.WaitGroup
 }
--- a/internal/control/standby_test.go
+++ b/internal/control/standby_test.go
@@ -90,7 +90,7 @@
 		revision := c.accept(c.leader(), change("last"))
 		lost := []string{successor, c.other(leaving, cut, successor)}
 		c.wipe(lost...)
-		knownred.Check(c.t, c.within(recoveryBound, func() bool { return c.confirms(revision, c.others(leaving)...) }), "no quorum confirms revision %d", revision)
+		c.eventually(recoveryBound, func() bool { return c.confirms(revision, c.others(leaving)...) })
 	})
 }
 
@@ -105,8 +105,7 @@
 		c.eventually(5*time.Second, func() bool { return c.votes(spare) && !c.votes(cut) })
 		revision := c.accept(c.leader(), change("while-cut-off"))
 		c.net.Heal()
-		stands := c.within(catchUpBound, func() bool { return c.standsBy(cut) && c.confirms(revision, cut) })
-		knownred.Check(c.t, stands, "%s does not stand by", cut)
+		c.eventually(catchUpBound, func() bool { return c.standsBy(cut) && c.confirms(revision, cut) })
 		require.Equal(c.t, id, c.hosts[cut].replica.log.Identity().Replica, "its data folder is whole")
 		voters, _ := c.members()
 		require.Len(c.t, voters, 3)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"slices"
+	"time"
+
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 )
 
@@ -12,25 +15,39 @@
 	members []*apiv1.ReplicaInfo
 	// admitted is true once the committed membership names this replica under its present address.
 	admitted bool
+	// expelled are the replicas that an operator removed, as far as committed here.
+	expelled []uint64
 }
 
 // groupView is the leadership of one group as this replica knows it.
 type groupView struct {
 	leader  uint64
 	settled bool // this replica leads and has committed an entry of its term
+	// leaderless is since when no leader is known; zero while one is.
+	leaderless time.Time
 }
 
 // publish updates the view if anything in it changed.
 func (r *Replica) publish() {
+	old := r.view.Load()
 	next := &view{identity: r.log.Identity()}
-	for _, g := range r.engine.groups {
-		next.groups = append(next.groups, groupView{leader: g.core.Leader(), settled: g.core.Settled()})
+	for i, g := range r.engine.groups {
+		group := groupView{leader: g.core.Leader(), settled: g.core.Settled()}
+		if group.leader == 0 {
+			group.leaderless = old.leaderlessSince(uint32(i))
+			if group.leaderless.IsZero() {
+				group.leaderless = r.o.Clock.Now()
+			}
+		}
+		next.groups = append(next.groups, group)
 	}
 	if len(r.engine.groups) > 0 {
-		next.members = r.engine.groups[0].core.Membership().Replicas
+		core := r.engine.groups[0].core
+		next.members = core.Membership().Replicas
+		next.expelled = core.CommittedMembership().Expelled
 		next.admitted = r.admitted()
 	}
-	if old := r.view.Load(); old == nil || !next.equal(old) {
+	if old == nil || !next.equal(old) {
 		r.view.Store(next)
 		r.logLeaders(old, next)
 	}
@@ -60,6 +77,14 @@
 	return v.groups[group].leader
 }
 
+// leaderlessSince returns since when no leader of a group is known; zero if one is.
+func (v *view) leaderlessSince(group uint32) time.Time {
+	if v == nil || int(group) >= len(v.groups) {
+		return time.Time{}
+	}
+	return v.groups[group].leaderless
+}
+
 // leaderNode returns the node of the leader of a group; "" if it is not known.
 func (v *view) leaderNode(group uint32) string {
 	for _, member := range v.members {
@@ -84,7 +109,7 @@
 			return false
 		}
 	}
-	return true
+	return slices.Equal(v.expelled, o.expelled)
 }
 
 // leads reports whether this replica leads a group and may serve it.
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -27,6 +27,8 @@
 	faults   faultSet
 	blocked  map[[2]int]bool
 	launched uint64
+	// voters is the fixed number of voters; 0 lets every replica vote.
+	voters int
 
 	// ids are the hosts of the replica identities, present and past.
 	ids map[uint64]int
@@ -70,7 +72,13 @@
 func (w *world) Now() time.Time { return w.now }
 
 func newWorld(t *testing.T, seed uint64, hosts int, faults faultSet) *world {
+	return newWorldOf(t, seed, hosts, 0, faults)
+}
+
+// newWorldOf is newWorld with a fixed number of voters.
+func newWorldOf(t *testing.T, seed uint64, hosts, voters int, faults faultSet) *world {
 	w := &world{
+		voters:   voters,
 		t:        t,
 		rnd:      rand.New(rand.NewPCG(seed, 1)),
 		now:      time.Unix(1_700_000_000, 0),
@@ -105,6 +113,7 @@
 		Identity:   peer.Identity{Node: hostName(h.index), Incarnation: w.launched},
 		Address:    hostName(h.index),
 		Check:      func([]*apiv1.Resource) []string { return nil },
+		Voters:     w.voters,
 		RateShards: 2,
 		RunShards:  1,
 		Clock:      w,
@@ -186,7 +195,7 @@
 // admit does what joining does over the network.
 func (w *world) admit(h *worldHost) {
 	r := h.replica
-	if w.now.Before(h.nextJoin) || r.view.Load().admitted {
+	if w.now.Before(h.nextJoin) || !r.needsAdmission(r.view.Load()) {
 		return
 	}
 	h.nextJoin = w.now.Add(200 * time.Millisecond)
@@ -335,18 +344,21 @@
 	}
 }
 
-// whole reports whether every host runs and votes in every group, so that losing one host
-// loses no more than a minority.
+// whole reports whether every host runs and is a member of every group, with all voters that there
+// should be, so that losing one host loses no more than a minority.
 func (w *world) whole() bool {
 	for _, h := range w.hosts {
 		if h.replica == nil || len(h.replica.engine.groups) != 2 {
 			return false
 		}
 		for _, g := range h.replica.engine.groups {
-			members := g.core.Membership().Replicas
-			if len(members) != len(w.hosts) || slices.ContainsFunc(members, func(m *apiv1.ReplicaInfo) bool {
-				return m.Learner || w.ids[m.Id] >= len(w.hosts)
-			}) {
+			members := g.core.Membership()
+			voters, learners := memberNodes(members)
+			wanted := w.voters
+			if wanted == 0 {
+				wanted = len(w.hosts)
+			}
+			if len(voters) != wanted || len(voters)+len(learners) != len(w.hosts) {
 				return false
 			}
 		}
