control: a standby that an operator removed ends, and a dead one is forgotten beside a live one

The answer to a request for admission says when an operator has removed the replica; silent standbys are looked for whatever else is due. TestRemovedStandbyStops and the case 'silent standby beside another' of TestSuccessionOfVoters failed before. All tests of internal/control pass, those of the members 20 times.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -186,6 +186,10 @@
 		request := &apiv1.ControlRequest{Join: r.info()}
 		err := peer.Unary(callCtx, r.o.Pool, address, apiv1.Method_METHOD_CONTROL, request, reply)
 		cancel()
+		if err == nil && reply.Removed {
+			r.post(func(time.Time) { r.fail(ErrRemoved) })
+			return
+		}
 		if err == nil && reply.Error != "" {
 			r.o.Log.Warn("not admitted to the cluster", "by", address, "err", reply.Error)
 		}
@@ -231,6 +235,7 @@
 		if request.Join != nil {
 			var err error
 			reply.Joined, err = r.admit(now, request.Join)
+			reply.Removed = errors.Is(err, ErrRemoved)
 			done <- err
 			return
 		}
--- a/internal/control/standby_test.go
+++ b/internal/control/standby_test.go
@@ -162,6 +162,27 @@
 	})
 }
 
+// Guards against a replica that goes on asking for admission after an operator has removed it: one that stands by
+// sends nothing to which the others could answer that it was removed.
+func TestRemovedStandbyStops(t *testing.T) {
+	inClusterOf(t, 3, 3, func(c *cluster) {
+		spare := c.add()
+		c.eventually(5*time.Second, func() bool { return c.standsBy(spare) })
+		id := c.hosts[spare].replica.log.Identity().Replica
+		c.eventually(time.Second, func() bool {
+			reply, err := c.hosts[c.leader()].replica.Control(context.Background(), &apiv1.ControlRequest{Remove: id})
+			return err == nil && reply.Error == "" // another change of the members may be under way
+		})
+		select {
+		case err := <-c.hosts[spare].stopped:
+			require.ErrorIs(c.t, err, ErrRemoved)
+			c.hosts[spare].cancel = nil
+		case <-time.After(catchUpBound):
+			require.Fail(c.t, "it goes on asking for admission")
+		}
+	})
+}
+
 func TestSuccessionOfVoters(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	voter := func(id uint64, silent time.Duration) replica.Peer {
@@ -193,6 +214,8 @@
 		{name: "a standby that lags takes no place", peers: []replica.Peer{voter(1, 0), voter(2, 4*time.Second), voter(3, 0), learner(4, time.Second)}},
 		{name: "silent standby", peers: []replica.Peer{voter(1, 0), voter(2, 0), voter(3, 0), learner(4, time.Minute)},
 			voters: []string{"n1", "n2", "n3"}},
+		{name: "silent standby beside another", peers: []replica.Peer{voter(1, 0), voter(2, 0), voter(3, 0), learner(4, time.Minute), learner(5, 0)},
+			voters: []string{"n1", "n2", "n3"}, learners: []string{"n5"}},
 		{name: "a replica that joins was not heard yet", peers: []replica.Peer{voter(1, 0), voter(2, 0), voter(3, 0), joining}},
 	} {
 		s := succession{voters: 3, self: 1, leaving: func(node string) bool { return node == c.leaving }}
--- a/internal/control/succession.go
+++ b/internal/control/succession.go
@@ -29,15 +29,10 @@
 // next returns the next membership; nil if nothing is to change. The replica that is concerned and the reason
 // are for the log.
 func (s *succession) next(now time.Time, peers []replica.Peer) (next *apiv1.Membership, concerned *replica.Peer, reason string) {
-	promoted := promotion(peers, func(member *apiv1.ReplicaInfo) bool { return !s.leaving(member.Node) })
-	switch {
-	case promoted == nil:
-		if forgotten := s.longestSilent(now, peers, silentStandby, true); forgotten != nil {
-			return withoutPeer(peers, forgotten.Replica.Id), forgotten, "silent standby removed"
+	if promoted := promotion(peers, func(member *apiv1.ReplicaInfo) bool { return !s.leaving(member.Node) }); promoted != nil {
+		if votersOf(peers) < s.voters {
+			return promoted, nil, ""
 		}
-	case votersOf(peers) < s.voters:
-		return promoted, nil, ""
-	default:
 		if leaver := s.leavingVoter(peers); leaver != nil {
 			return withVote(peers, leaver.Replica.Id, false), leaver, "leaving voter stands by"
 		}
@@ -45,6 +40,9 @@
 			return withVote(peers, silent.Replica.Id, false), silent, "silent voter stands by"
 		}
 	}
+	if forgotten := s.longestSilent(now, peers, silentStandby, true); forgotten != nil {
+		return withoutPeer(peers, forgotten.Replica.Id), forgotten, "silent standby removed"
+	}
 	return nil, nil, ""
 }
 
