control: a standby votes before the voter that it replaces stands by

Found by a model of the losses that the fleet has to bear (TestControlBearsItsLosses): of five voters two were cut off and a third was leaving; it stood by first, and its successor could not get its vote from two of four voters. No change was accepted until a cut ended.

Now the standby votes first, so that the quorum that there is outlasts both steps; with one voter too many one that leaves, or the longest silent one, stands by. TestSuccessionOfVoters and TestStandbyReplacesTheVoterThatIsSilentLongest expect the two steps in the new order, each with its own case.

--- a/internal/control/standby_test.go
+++ b/internal/control/standby_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -16,6 +17,8 @@
 const (
 	// catchUpBound is the time after which a host that is back, or new, counts as able to replace another.
 	catchUpBound = 4 * time.Second
+	// acceptBound is the time within which a change is acknowledged while no more hosts are lost than may be.
+	acceptBound = 4 * time.Second
 	// recoveryBound is the time within which service returns after a fault of the whole fleet.
 	recoveryBound = 15 * time.Second
 )
@@ -142,7 +145,10 @@
 		c.net.Partition([]string{cut}, c.others(cut))
 		time.Sleep(3 * time.Second)
 		spare := c.add()
-		c.eventually(10*time.Second, func() bool { return c.votes(spare) })
+		c.eventually(10*time.Second, func() bool {
+			voters, _ := c.members()
+			return c.votes(spare) && len(voters) == 5
+		})
 		require.False(c.t, c.votes(gone))
 		require.True(c.t, c.votes(cut))
 	})
@@ -162,6 +168,28 @@
 	})
 }
 
+// Guards against a replacement that stops the quorum: of five voters two are cut off, and one of the others, which leaves,
+// stood by before its successor voted.
+func TestReplacementWhileTwoAreCutOffKeepsTheQuorum(t *testing.T) {
+	inClusterOf(t, 5, 5, func(c *cluster) {
+		successor := c.add()
+		c.eventually(5*time.Second, func() bool { return c.standsBy(successor) })
+		leaving := c.other(c.leader(), successor)
+		first := c.other(c.leader(), successor, leaving)
+		second := c.other(c.leader(), successor, leaving, first)
+		cut := []string{first, second}
+		c.net.Partition(cut, c.others(cut...))
+		request := &apiv1.SyncRequest{Node: leaving, Incarnation: c.hosts[leaving].replica.o.Identity.Incarnation, Leaving: true}
+		_, err := c.hosts[leaving].replica.Sync(context.Background(), request)
+		require.NoError(c.t, err)
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			started := time.Now()
+			c.accept(successor, change(fmt.Sprint(started.UnixNano())))
+			require.Less(c.t, time.Since(started), acceptBound)
+		}
+	})
+}
+
 // Guards against a replica that goes on asking for admission after an operator has removed it: one that stands by
 // sends nothing to which the others could answer that it was removed.
 func TestRemovedStandbyStops(t *testing.T) {
@@ -203,13 +231,21 @@
 		{name: "no standby", peers: []replica.Peer{voter(1, 0), voter(2, time.Minute), voter(3, 0)}, leaving: "n3"},
 		{name: "a voter is missing", peers: []replica.Peer{voter(1, 0), voter(2, 0), learner(4, 0)},
 			voters: []string{"n1", "n2", "n4"}},
-		{name: "silent", peers: []replica.Peer{voter(1, 0), voter(2, 3*time.Second), voter(3, 0), learner(4, 0)},
-			voters: []string{"n1", "n3"}, learners: []string{"n2", "n4"}},
+		{name: "the standby votes before a silent one stands by",
+			peers:  []replica.Peer{voter(1, 0), voter(2, 3*time.Second), voter(3, 0), learner(4, 0)},
+			voters: []string{"n1", "n2", "n3", "n4"}},
+		{name: "silent", peers: []replica.Peer{voter(1, 0), voter(2, 3*time.Second), voter(3, 0), voter(4, 0)},
+			voters: []string{"n1", "n3", "n4"}, learners: []string{"n2"}},
 		{name: "silent for a moment", peers: []replica.Peer{voter(1, 0), voter(2, time.Second), voter(3, 0), learner(4, 0)}},
-		{name: "longest silent", peers: []replica.Peer{voter(1, 0), voter(2, 4*time.Second), voter(3, 3*time.Second), learner(4, 0)},
-			voters: []string{"n1", "n3"}, learners: []string{"n2", "n4"}},
-		{name: "leaving before silent", peers: []replica.Peer{voter(1, 0), voter(2, 4*time.Second), voter(3, 0), learner(4, 0)}, leaving: "n3",
-			voters: []string{"n1", "n2"}, learners: []string{"n3", "n4"}},
+		{name: "heard again before it stands by", peers: []replica.Peer{voter(1, 0), voter(2, 20*time.Millisecond), voter(3, 0), voter(4, 0)},
+			voters: []string{"n1", "n3", "n4"}, learners: []string{"n2"}},
+		{name: "longest silent", peers: []replica.Peer{voter(1, 0), voter(2, 4*time.Second), voter(3, 3*time.Second), voter(4, 0)},
+			voters: []string{"n1", "n3", "n4"}, learners: []string{"n2"}},
+		{name: "the standby votes before a leaving one stands by",
+			peers: []replica.Peer{voter(1, 0), voter(2, 0), voter(3, 0), learner(4, 0)}, leaving: "n3",
+			voters: []string{"n1", "n2", "n3", "n4"}},
+		{name: "leaving before silent", peers: []replica.Peer{voter(1, 0), voter(2, 4*time.Second), voter(3, 0), voter(4, 0)}, leaving: "n3",
+			voters: []string{"n1", "n2", "n4"}, learners: []string{"n3"}},
 		{name: "a leaving standby takes no place", peers: []replica.Peer{voter(1, 0), voter(2, 4*time.Second), learner(4, 0)}, leaving: "n4"},
 		{name: "a standby that lags takes no place", peers: []replica.Peer{voter(1, 0), voter(2, 4*time.Second), voter(3, 0), learner(4, time.Second)}},
 		{name: "silent standby", peers: []replica.Peer{voter(1, 0), voter(2, 0), voter(3, 0), learner(4, time.Minute)},
--- a/internal/control/succession.go
+++ b/internal/control/succession.go
@@ -27,18 +27,27 @@
 }
 
 // next returns the next membership; nil if nothing is to change. The replica that is concerned and the reason
-// are for the log.
+// are for the log. A standby votes before the voter that it replaces stands by: whatever quorum there is outlasts both steps.
 func (s *succession) next(now time.Time, peers []replica.Peer) (next *apiv1.Membership, concerned *replica.Peer, reason string) {
-	if promoted := promotion(peers, func(member *apiv1.ReplicaInfo) bool { return !s.leaving(member.Node) }); promoted != nil {
-		if votersOf(peers) < s.voters {
-			return promoted, nil, ""
-		}
-		if leaver := s.leavingVoter(peers); leaver != nil {
-			return withVote(peers, leaver.Replica.Id, false), leaver, "leaving voter stands by"
+	voters := votersOf(peers)
+	leaving, silent := s.leavingVoter(peers), s.longestSilent(now, peers, silentVoter, false)
+	if voters > s.voters {
+		switch {
+		case leaving != nil:
+			return withVote(peers, leaving.Replica.Id, false), leaving, "leaving voter stands by"
+		case silent == nil:
+			silent = s.longestSilent(now, peers, 0, false) // the reason has gone since the standby got its vote
 		}
-		if silent := s.longestSilent(now, peers, silentVoter, false); silent != nil {
+		if silent != nil {
 			return withVote(peers, silent.Replica.Id, false), silent, "silent voter stands by"
 		}
+		return nil, nil, ""
+	}
+	if voters < s.voters || leaving != nil || silent != nil {
+		promoted := promotion(peers, func(member *apiv1.ReplicaInfo) bool { return !s.leaving(member.Node) })
+		if promoted != nil {
+			return promoted, nil, ""
+		}
 	}
 	if forgotten := s.longestSilent(now, peers, silentStandby, true); forgotten != nil {
 		return withoutPeer(peers, forgotten.Replica.Id), forgotten, "silent standby removed"
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -57,6 +57,8 @@
 	nextJoin time.Time
 	// frozen hosts run no step and take no message until then.
 	frozen time.Time
+	// gone hosts never start again.
+	gone bool
 }
 
 // flight is a message on its way.
@@ -143,7 +145,7 @@
 
 func (w *world) runHost(h *worldHost) {
 	if h.replica == nil {
-		if w.now.After(h.restart) {
+		if !h.gone && w.now.After(h.restart) {
 			h.fs.Restart(w.rnd)
 			w.launch(h)
 		}
