--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -95,10 +95,7 @@
 
 // convergence returns the next step from the members of a group to the target; nil if none is due.
 func convergence(peers []replica.Peer, target *apiv1.Membership) *apiv1.Membership {
-	current := &apiv1.Membership{}
-	for _, p := range peers {
-		current.Replicas = append(current.Replicas, p.Replica)
-	}
+	current := membershipOf(peers)
 	for _, member := range current.Replicas {
 		if find(target, member.Id) == nil && hasOtherVoter(current, member.Id) {
 			return without(current, member.Id)
@@ -125,6 +122,15 @@
 	return promotion(peers, func(member *apiv1.ReplicaInfo) bool { return votes(target, member.Id) })
 }
 
+// membershipOf returns the membership that consists of the peers.
+func membershipOf(peers []replica.Peer) *apiv1.Membership {
+	m := &apiv1.Membership{}
+	for _, p := range peers {
+		m.Replicas = append(m.Replicas, p.Replica)
+	}
+	return m
+}
+
 func voterCount(m *apiv1.Membership) int {
 	voters, _ := memberNodes(m)
 	return len(voters)
--- a/internal/control/succession.go
+++ b/internal/control/succession.go
@@ -29,7 +29,7 @@
 // next returns the next membership; nil if nothing is to change. The replica that is concerned and the reason
 // are for the log. A standby votes before the voter that it replaces stands by: whatever quorum there is outlasts both steps.
 func (s *succession) next(now time.Time, peers []replica.Peer) (next *apiv1.Membership, concerned *replica.Peer, reason string) {
-	voters := votersOf(peers)
+	voters := voterCount(membershipOf(peers))
 	leaving, silent := s.leavingVoter(peers), s.longestSilent(now, peers, silentVoter, false)
 	if voters > s.voters {
 		switch {
@@ -50,7 +50,7 @@
 		}
 	}
 	if forgotten := s.longestSilent(now, peers, silentStandby, true); forgotten != nil {
-		return withoutPeer(peers, forgotten.Replica.Id), forgotten, "silent standby removed"
+		return without(membershipOf(peers), forgotten.Replica.Id), forgotten, "silent standby removed"
 	}
 	return nil, nil, ""
 }
@@ -91,21 +91,3 @@
 	}
 	return next
 }
-
-func votersOf(peers []replica.Peer) int {
-	voters := 0
-	for _, p := range peers {
-		if !p.Replica.Learner {
-			voters++
-		}
-	}
-	return voters
-}
-
-func withoutPeer(peers []replica.Peer, id uint64) *apiv1.Membership {
-	current := &apiv1.Membership{}
-	for _, p := range peers {
-		current.Replicas = append(current.Replicas, p.Replica)
-	}
-	return without(current, id)
-}
