control: a new host takes the place of a silent standby in a full membership

One that was admitted and died before it was ever heard kept its place for ever.

A new host now takes the place of a standby that has been silent for 2 s, and the silence of a member counts from its admission. All tests of internal/control, internal/replica and internal/node pass.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,8 +40,8 @@
 	pool    *peer.Pool
 	cancel  context.CancelFunc
 	stopped chan error
-	// joins is true for a host that was added to the running cluster.
-	joins bool
+	// seeds are the replicas at which a host joins that was added to the running cluster.
+	seeds []string
 }
 
 // inCluster runs a test with n replicas that have founded a cluster.
@@ -69,10 +70,15 @@
 	})
 }
 
-// add starts a host that joins the running cluster.
+// add starts a host that joins the running cluster at all hosts that are known.
 func (c *cluster) add() string {
+	return c.addAt(slices.Clone(c.names))
+}
+
+// addAt starts a host that joins the running cluster at the given hosts.
+func (c *cluster) addAt(seeds []string) string {
 	name := fmt.Sprintf("host-%d", len(c.names)+1)
-	c.hosts[name] = &testHost{name: name, fs: vfs.NewMem(), joins: true}
+	c.hosts[name] = &testHost{name: name, fs: vfs.NewMem(), seeds: seeds}
 	c.start(name)
 	c.names = append(c.names, name)
 	return name
@@ -94,9 +100,9 @@
 	transport := c.net.Host(name)
 	h.pool = peer.NewPool(id, transport, peer.PoolOptions{Seed: c.next})
 	server := peer.NewServer(id, peer.ServerOptions{})
-	initial, seeds := c.names, []string(nil)
-	if h.joins {
-		initial, seeds = nil, c.names
+	initial := c.names
+	if h.seeds != nil {
+		initial = nil
 	}
 	replica, err := Open(Options{
 		DataFolder:      "data",
@@ -105,7 +111,7 @@
 		Address:         name,
 		DataCentre:      "dc-" + name,
 		InitialReplicas: initial,
-		Seeds:           seeds,
+		Seeds:           h.seeds,
 		Voters:          c.voters,
 		Pool:            h.pool,
 		Server:          server,
--- a/internal/control/losses_test.go
+++ b/internal/control/losses_test.go
@@ -246,24 +246,36 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			borne := 1 + seed%2
-			w := newWorldOf(t, uint64(seed+1), 2*borne+1, 2*borne+1, faultSet{})
-			w.until(10*time.Second, w.whole, "all hosts vote")
-			l := newLosses(w, borne)
-			for range 3 {
-				l.advanced = time.Time{}
-				for end := w.now.Add(time.Duration(5+w.rnd.IntN(25)) * time.Second); w.now.Before(end); w.step() {
-					l.step()
-					l.advances()
-				}
-				l.strike()
-				accepted := len(w.accepted)
-				w.until(recoveryBound, func() bool {
-					l.heal()
-					return l.recovered(accepted)
-				}, "changes are accepted again, and every host has them")
-			}
-			require.NotEmpty(t, w.accepted)
+			bearLosses(t, uint64(seed+1), 1+seed%2)
 		})
 	}
 }
+
+// Guards against a successor that is refused while hosts that have left fill the membership: it had lost its disk, and
+// no change was accepted once two more hosts were lost.
+func TestControlBearsItsLossesWhileItsMembershipIsFull(t *testing.T) {
+	for _, seed := range []uint64{5120, 5526} {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { bearLosses(t, seed, 2) })
+	}
+}
+
+// bearLosses takes hosts away, three times all at once, and checks that changes go on and that none is lost.
+func bearLosses(t *testing.T, seed uint64, borne int) {
+	w := newWorldOf(t, seed, 2*borne+1, 2*borne+1, faultSet{})
+	w.until(10*time.Second, w.whole, "all hosts vote")
+	l := newLosses(w, borne)
+	for range 3 {
+		l.advanced = time.Time{}
+		for end := w.now.Add(time.Duration(5+w.rnd.IntN(25)) * time.Second); w.now.Before(end); w.step() {
+			l.step()
+			l.advances()
+		}
+		l.strike()
+		accepted := len(w.accepted)
+		w.until(recoveryBound, func() bool {
+			l.heal()
+			return l.recovered(accepted)
+		}, "changes are accepted again, and every host has them")
+	}
+	require.NotEmpty(t, w.accepted)
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -283,7 +283,12 @@
 		return true, nil
 	}
 	if len(next.Replicas) > MaxReplicas {
-		return false, errors.Errorf("the cluster has %d replicas, the most that it may have", MaxReplicas)
+		s := r.succession()
+		silent := s.longestSilent(now, core.Peers(), silentVoter, true)
+		if silent == nil {
+			return false, errors.Errorf("the cluster has %d replicas, the most that it may have", MaxReplicas)
+		}
+		next = without(core.Membership(), silent.Replica.Id) // the joiner asks again
 	}
 	err := core.ProposeMembership(now, next)
 	if errors.Is(err, replica.ErrChangePending) {
--- a/internal/control/standby_test.go
+++ b/internal/control/standby_test.go
@@ -190,6 +190,39 @@
 	})
 }
 
+// Guards against a new host that is refused while hosts that have left for good fill the membership.
+func TestNewHostIsAdmittedInPlaceOfASilentStandby(t *testing.T) {
+	inFullCluster(t, func(c *cluster, gone string) {
+		added := c.addAt(c.others(gone))
+		c.eventually(catchUpBound, func() bool { return c.standsBy(added) && !c.standsBy(gone) })
+	})
+}
+
+// The same for a host one of whose seeds is the one that has left.
+func TestNewHostIsAdmittedInTimeAtADarkSeed(t *testing.T) {
+	inFullCluster(t, func(c *cluster, gone string) {
+		added := c.add()
+		c.eventually(catchUpBound, func() bool { return c.standsBy(added) && !c.standsBy(gone) })
+	})
+}
+
+// inFullCluster runs a test with as many replicas as there may be, one of which stood by and has gone.
+func inFullCluster(t *testing.T, fn func(c *cluster, gone string)) {
+	inClusterOf(t, 3, 3, func(c *cluster) {
+		for len(c.names) < MaxReplicas {
+			c.add()
+		}
+		c.eventually(5*time.Second, func() bool {
+			voters, standby := c.members()
+			return len(voters)+len(standby) == MaxReplicas
+		})
+		_, standby := c.members()
+		c.stop(standby[0])
+		time.Sleep(silentVoter)
+		fn(c, standby[0])
+	})
+}
+
 // Guards against a replica that goes on asking for admission after an operator has removed it: one that stands by
 // sends nothing to which the others could answer that it was removed.
 func TestRemovedStandbyStops(t *testing.T) {
@@ -219,7 +252,6 @@
 	learner := func(id uint64, silent time.Duration) replica.Peer {
 		return replica.Peer{Replica: replicaInfo(id, true), Heard: now.Add(-silent), CaughtUp: silent == 0}
 	}
-	joining := replica.Peer{Replica: replicaInfo(9, true)}
 	for _, c := range []struct {
 		name    string
 		peers   []replica.Peer
@@ -252,7 +284,7 @@
 			voters: []string{"n1", "n2", "n3"}},
 		{name: "silent standby beside another", peers: []replica.Peer{voter(1, 0), voter(2, 0), voter(3, 0), learner(4, time.Minute), learner(5, 0)},
 			voters: []string{"n1", "n2", "n3"}, learners: []string{"n5"}},
-		{name: "a replica that joins was not heard yet", peers: []replica.Peer{voter(1, 0), voter(2, 0), voter(3, 0), joining}},
+		{name: "a replica that joins is given time", peers: []replica.Peer{voter(1, 0), voter(2, 0), voter(3, 0), learner(4, time.Second)}},
 	} {
 		s := succession{voters: 3, self: 1, leaving: func(node string) bool { return node == c.leaving }}
 		next, _, _ := s.next(now, c.peers)
--- a/internal/control/succession.go
+++ b/internal/control/succession.go
@@ -65,11 +65,10 @@
 }
 
 // longestSilent returns the learner or the voter that has been silent longest, if for longer than the limit.
-// A learner that was never heard has just been admitted.
 func (s *succession) longestSilent(now time.Time, peers []replica.Peer, limit time.Duration, learner bool) *replica.Peer {
 	var longest *replica.Peer
 	for i, p := range peers {
-		if p.Replica.Learner != learner || p.Replica.Id == s.self || p.Heard.IsZero() || now.Sub(p.Heard) <= limit {
+		if p.Replica.Learner != learner || p.Replica.Id == s.self || now.Sub(p.Heard) <= limit {
 			continue
 		}
 		if longest == nil || p.Heard.Before(longest.Heard) {
@@ -79,12 +78,16 @@
 	return longest
 }
 
+func (r *Replica) succession() succession {
+	return succession{voters: r.o.Voters, self: r.log.Identity().Replica, leaving: r.relay.Leaving}
+}
+
 // nextMembership returns the next membership of group 0; nil if nothing is to change.
 func (r *Replica) nextMembership(now time.Time, peers []replica.Peer) *apiv1.Membership {
 	if r.o.Voters == 0 {
 		return promotion(peers, func(*apiv1.ReplicaInfo) bool { return true })
 	}
-	s := succession{voters: r.o.Voters, self: r.log.Identity().Replica, leaving: r.relay.Leaving}
+	s := r.succession()
 	next, concerned, reason := s.next(now, peers)
 	if concerned != nil {
 		r.o.Log.Info(reason, "replica", concerned.Replica.Id, "node", concerned.Replica.Node, "silent_for", now.Sub(concerned.Heard))
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -68,7 +68,8 @@
 	}
 	for _, r := range c.config.current().Replicas {
 		if r.Id != c.cfg.ID && c.lead.progress[r.Id] == nil {
-			c.lead.progress[r.Id] = &progress{next: c.log.last() + 1}
+			// Its silence counts from now on: one that never answers must not pass for one that was just added.
+			c.lead.progress[r.Id] = &progress{next: c.log.last() + 1, heard: c.now}
 		}
 	}
 }
