gate: log each decision on a repeat with the state of its window

Change: one sampled line with the counted requests and repeats, the reserve, the number of targets and the age of the window. Measured: TestRepeatDecisionsAreLogged (new; the line did not exist before).

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -58,6 +58,8 @@
 	Clock     clock.Clock
 	Metrics   *telemetry.Metrics
 	Log       telemetry.Logger
+	// LogLimiter limits the rate of log lines about individual requests.
+	LogLimiter *telemetry.LogLimiter
 	// Transport sends HTTP requests to the targets.
 	Transport http.RoundTripper
 	// HeaderNames are the names of the header fields in requests to targets; nil selects the default names.
@@ -169,12 +171,29 @@
 	}
 	targets := max(g.opts.RepeatLimit.Targets(e.target.Service), 1)
 	e.repeats.SetReserve(spareShare * g.opts.RepeatLimit.Reserve / float64(targets))
-	if !e.repeats.Reserve(now, 1) {
+	granted := e.repeats.Reserve(now, 1)
+	g.logRepeat(now, e, h, granted, targets)
+	if !granted {
 		return outcome.NotRun(outcome.RepeatRefused, 0, "the repeats of the service are used up")
 	}
 	return nil
 }
 
+// logRepeat logs whether a repeat was granted, and the state of the window by which that was decided.
+func (g *Gate) logRepeat(now time.Time, e *targetEntry, h *apiv1.CallHeader, granted bool, targets int) {
+	leftOut, ok := g.opts.LogLimiter.Allow(now)
+	if !ok {
+		return
+	}
+	message := "repeat refused"
+	if granted {
+		message = "repeat granted"
+	}
+	usage := e.repeats.Usage(now)
+	g.opts.Log.Info(message, "request", h.GetRequestId(), "service", e.target.Service, "target", e.target.Name, "requests", usage.Requests,
+		"repeats", usage.Retries, "reserve", usage.Reserve, "targets", targets, "window_age", usage.Age, "left_out", leftOut)
+}
+
 // newEntry returns the entry of a target that is new at this host.
 func (g *Gate) newEntry(config admission.Config) *targetEntry {
 	e := &targetEntry{admission: admission.NewController(config, g.opts.Clock), meter: shed.NewMeter(), reported: &reportTimes{at: map[reportRecipient]time.Time{}}}
--- a/internal/gate/repeats_test.go
+++ b/internal/gate/repeats_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/shed"
+	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
 // newRepeatGate returns a gate with a bound on repeats whose service has four targets, and the entry of the one on its
@@ -19,6 +21,7 @@
 func newRepeatGate(loadTracker *shed.LoadTracker) (*Gate, *targetEntry) {
 	g := New(Options{
 		Clock:       clock.System{},
+		Log:         telemetry.Discard(),
 		LoadTracker: loadTracker,
 		RepeatLimit: RepeatLimit{Ratio: 0.5, Reserve: 10, Window: 10 * time.Second, Targets: func(string) int { return 4 }},
 	})
@@ -67,3 +70,20 @@
 	require.Equal(t, outcome.RanNo, r.Ran)
 	require.Nil(t, g.admitRepeat(e, repeat(apiv1.Repeat_REPEAT_REACHED, 1, 1)), "a request that reached a target but did not run has made no sub-calls")
 }
+
+// TestRepeatDecisionsAreLogged guards against a repeat that is granted or refused without a line that names the request
+// and the state of the window.
+func TestRepeatDecisionsAreLogged(t *testing.T) {
+	g, e := newRepeatGate(shed.NewLoadTracker())
+	var lines bytes.Buffer
+	var err error
+	g.opts.Log, err = telemetry.NewLogger(&lines, "info")
+	require.NoError(t, err)
+	h := repeat(apiv1.Repeat_REPEAT_REACHED, 1, 1)
+	h.RequestId = "r1"
+	for range 3 {
+		g.admitRepeat(e, h)
+	}
+	require.Contains(t, lines.String(), `msg="repeat granted" request=r1 service=s target=t requests=0 repeats=1 reserve=2 targets=4`)
+	require.Contains(t, lines.String(), `msg="repeat refused" request=r1 service=s target=t requests=0 repeats=2 reserve=2 targets=4`)
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -215,6 +215,7 @@
 		Clock:       p.env.Clock,
 		Metrics:     p.env.metrics,
 		Log:         p.env.Log,
+		LogLimiter:  p.logLimit,
 		Transport:   p.env.TargetTransport,
 		HeaderNames: p.env.HeaderNames,
 		LoadTracker: p.loadTracker,
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -16,7 +16,9 @@
 	ratio  float64
 	length time.Duration
 
-	mu             sync.Mutex
+	mu sync.Mutex
+	// started is when the first event was counted.
+	started        time.Time
 	spare          float64
 	requestBuckets [windowBuckets]float64
 	retryBuckets   [windowBuckets]float64
@@ -70,9 +72,28 @@
 	w.retries -= taken
 }
 
+// WindowUsage is the state of a Window at one time.
+type WindowUsage struct {
+	// Requests and Retries are counted in the window that ends now; Reserve is the fixed number of retries.
+	Requests, Retries, Reserve float64
+	// Age is the time since the first event.
+	Age time.Duration
+}
+
+// Usage returns the state of the window.
+func (w *Window) Usage(now time.Time) WindowUsage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	return WindowUsage{Requests: w.requests, Retries: w.retries, Reserve: w.spare, Age: now.Sub(w.started)}
+}
+
 // advance removes the counts that have left the window. The oldest bucket counts in full until all of it
 // has left. The caller holds mu.
 func (w *Window) advance(now time.Time) {
+	if w.started.IsZero() {
+		w.started = now
+	}
 	bucket := now.UnixNano() / int64(w.length/(windowBuckets-1))
 	if bucket <= w.bucket {
 		return
