--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -3,9 +3,12 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/guavaford/guavaford/internal/knownred"
 )
 
 // TestWindowLimitsRetriesInEveryWindow guards against a window that ends with a retry and has more retries
@@ -51,3 +54,54 @@
 	w.Refund(now, 1)
 	require.True(t, w.Reserve(now, 1))
 }
+
+// setClock returns a reading with the time of day moved by step and the same monotonic reading, as time.Now returns it after the
+// clock of the host was set.
+func setClock(now time.Time, step time.Duration) time.Time {
+	moved := now.Add(step)
+	// The second word of a time.Time with a monotonic reading holds that reading.
+	(*[2]int64)(unsafe.Pointer(&moved))[1] = (*[2]int64)(unsafe.Pointer(&now))[1]
+	return moved
+}
+
+// TestWindowIgnoresSetClock guards against more retries than allowed when the clock of the host is set: a window lasts for its
+// length, whatever the time of day.
+func TestWindowIgnoresSetClock(t *testing.T) {
+	const length = 10 * time.Second
+	start := time.Now()
+	require.Equal(t, 5*time.Second, setClock(start, time.Hour).Add(5*time.Second).Sub(start), "the step changes the time of day only")
+	worst := 0.0
+	for _, step := range []time.Duration{2400 * time.Millisecond, -2400 * time.Millisecond, time.Hour, -time.Hour} {
+		w := NewWindow(0.2, 10, length)
+		granted := 0.0
+		for range 50 {
+			w.CountRequest(start)
+		}
+		for at := time.Duration(0); at < length; at += 100 * time.Millisecond {
+			now := start.Add(at)
+			if at > 4*time.Second {
+				now = setClock(now, step)
+			}
+			for w.Reserve(now, 1) {
+				granted++
+			}
+		}
+		worst = max(worst, granted)
+	}
+	knownred.Check(t, worst <= 20, "%.0f retries within a window, allowed 20", worst)
+}
+
+// TestOldRequestsAllowNoRetries guards against retries for requests that have left the window: all retries come at its end.
+func TestOldRequestsAllowNoRetries(t *testing.T) {
+	const length = 10 * time.Second
+	start := time.Now()
+	w := NewWindow(1, 0, length)
+	for range 100 {
+		w.CountRequest(start)
+	}
+	granted := 0
+	for w.Reserve(start.Add(length+time.Millisecond), 1) {
+		granted++
+	}
+	knownred.Check(t, granted == 0, "%d retries for requests older than the window", granted)
+}
