retry: keep the window of repeats by the monotonic clock

Callers saw nothing; targets of catalogue got 894 repeats in 10 s where 828 were allowed (BUDGET) when the clocks of their hosts were set forward by 2.4 s. Cause: buckets were numbered by the time of day. A step forward dropped the repeats of its length from the window and with them the reserve that they had used; a step back let requests of more than the window count. Change: buckets are numbered by the time since the first event, which the monotonic clock measures.

--- a/internal/gate/repeatfleet_test.go
+++ b/internal/gate/repeatfleet_test.go
@@ -282,4 +282,3 @@
 		})
 	}
 }
-
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -17,7 +17,8 @@
 	length time.Duration
 
 	mu sync.Mutex
-	// started is when the first event was counted.
+	// started is when the first event was counted. Buckets are numbered from it by the monotonic clock, so that
+	// setting the time of day doesn't shorten or extend the window.
 	started        time.Time
 	spare          float64
 	requestBuckets [windowBuckets]float64
@@ -94,7 +95,7 @@
 	if w.started.IsZero() {
 		w.started = now
 	}
-	bucket := now.UnixNano() / int64(w.length/(windowBuckets-1))
+	bucket := int64(now.Sub(w.started) / (w.length / (windowBuckets - 1)))
 	if bucket <= w.bucket {
 		return
 	}
