retry, gate: bound the repeats of a service by buckets in place of windows

Cause: each gate counted requests and repeats in a window of its own. Such windows don't add up: a process that restarts, or a target with a new lifetime, has forgotten what it granted; a target that leaves has spent its share before the others divide it; requests that move to another gate earn repeats there while those of before are spent; requests of up to 10.2 s counted. Change: a request earns its fraction of a repeat at the gate that it passes, in a bucket that starts empty and holds at most its share of half of the reserve; time earns the other half. In any span the sum over all gates is bounded by the requests of that span and the shares at its start, without memory of earlier repeats. A node that may have left the registry of others takes a half of its share. Evidence: lines of the gates.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -71,23 +72,6 @@
 	LoadTracker *shed.LoadTracker
 }
 
-// RepeatLimit bounds the repeats of a service: attempts of requests that have reached one of its targets before. The
-// bound holds for the whole fleet in any time window, since every attempt passes the gate of its target, and the gates
-// of a service divide the allowed repeats among them.
-type RepeatLimit struct {
-	// Ratio is the number of repeats allowed for each request of a caller; 0 turns the bound off.
-	Ratio float64
-	// Reserve is the number of further repeats allowed in a window at all targets of the service together.
-	Reserve float64
-	Window  time.Duration
-	// Targets returns the number of targets of a service; 0 if unknown.
-	Targets func(service string) int
-}
-
-// spareShare is the share of the spare repeats that the known targets divide among them. The rest is for targets that
-// this node does not know yet.
-const spareShare = 0.8
-
 // Gate admits and runs calls at the targets of one host.
 type Gate struct {
 	opts  Options
@@ -105,7 +89,7 @@
 	// meter measures the work offered to the target in relation to its capacity.
 	meter *shed.Meter
 	// repeats is nil when repeats are not bounded.
-	repeats *retry.Window
+	repeats *retry.Bucket
 	// reported holds when load was last reported to each node, by route.
 	reported *reportTimes
 }
@@ -153,52 +137,11 @@
 	return shed.ServiceRoute{Service: h.GetService(), Route: h.GetRoute()}
 }
 
-// admitRepeat counts first attempts, and counts or refuses repeats by the bound of the service.
-func (g *Gate) admitRepeat(e *targetEntry, h *apiv1.CallHeader) *outcome.Refusal {
-	if e.repeats == nil {
-		return nil
-	}
-	now := g.opts.Clock.Now()
-	if h.GetRepeat() == apiv1.Repeat_REPEAT_NONE {
-		if h.GetDepth() == 0 && h.GetAttempt() == 0 {
-			e.repeats.CountRequest(now)
-		}
-		return nil
-	}
-	if h.GetRepeat() == apiv1.Repeat_REPEAT_MAY_HAVE_RUN && g.opts.LoadTracker.MakesCalls(now, workOf(h)) {
-		// If the request has run, another run would repeat all of its sub-calls as well.
-		return outcome.NotRun(outcome.RepeatRefused, 0, "the request may have run, and its target calls others")
-	}
-	targets := max(g.opts.RepeatLimit.Targets(e.target.Service), 1)
-	e.repeats.SetReserve(spareShare * g.opts.RepeatLimit.Reserve / float64(targets))
-	granted := e.repeats.Reserve(now, 1)
-	g.logRepeat(now, e, h, granted, targets)
-	if !granted {
-		return outcome.NotRun(outcome.RepeatRefused, 0, "the repeats of the service are used up")
-	}
-	return nil
-}
-
-// logRepeat logs whether a repeat was granted, and the state of the window by which that was decided.
-func (g *Gate) logRepeat(now time.Time, e *targetEntry, h *apiv1.CallHeader, granted bool, targets int) {
-	leftOut, ok := g.opts.LogLimiter.Allow(now)
-	if !ok {
-		return
-	}
-	message := "repeat refused"
-	if granted {
-		message = "repeat granted"
-	}
-	usage := e.repeats.Usage(now)
-	g.opts.Log.Info(message, "request", h.GetRequestId(), "service", e.target.Service, "target", e.target.Name, "requests", usage.Requests,
-		"repeats", usage.Retries, "reserve", usage.Reserve, "targets", targets, "window_age", usage.Age, "left_out", leftOut)
-}
-
 // newEntry returns the entry of a target that is new at this host.
 func (g *Gate) newEntry(config admission.Config) *targetEntry {
 	e := &targetEntry{admission: admission.NewController(config, g.opts.Clock), meter: shed.NewMeter(), reported: &reportTimes{at: map[reportRecipient]time.Time{}}}
 	if g.opts.RepeatLimit.Ratio > 0 {
-		e.repeats = retry.NewWindow(g.opts.RepeatLimit.Ratio, 0, g.opts.RepeatLimit.Window)
+		e.repeats = retry.NewBucket(g.opts.RepeatLimit.Ratio, rand.Float64)
 	}
 	return e
 }
--- a/internal/gate/repeatfleet_test.go
+++ b/internal/gate/repeatfleet_test.go
@@ -6,8 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
-	"github.com/guavaford/guavaford/internal/knownred"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/shed"
 	"github.com/guavaford/guavaford/internal/telemetry"
@@ -37,7 +38,9 @@
 	random *rand.Rand
 	hosts  []*repeatHost
 	// rate is the number of requests in a step; refuse is the share of the arrivals that the targets refuse.
-	rate, refuse      float64
+	rate, refuse float64
+	// use, if set, picks the hosts that get requests.
+	use               func(up []*repeatHost) []*repeatHost
 	requests, repeats []time.Time
 }
 
@@ -116,12 +119,16 @@
 	return names
 }
 
-// countTargets returns the number of targets that a host knows.
+// countTargets returns the number of targets that a host knows, counted twice once it has been isolated for some time.
 func (h *repeatHost) countTargets(string) int {
-	if h.isolated {
+	switch {
+	case !h.isolated:
+		return len(h.fleet.list())
+	case h.fleet.now.Sub(h.isolatedSince) < lostLag/2:
 		return len(h.frozen)
+	default:
+		return 2 * len(h.frozen)
 	}
-	return len(h.fleet.list())
 }
 
 // up returns the hosts whose process runs.
@@ -144,6 +151,9 @@
 func (f *repeatFleet) step() {
 	f.now = f.now.Add(fleetStep)
 	up := f.up()
+	if f.use != nil {
+		up = f.use(up)
+	}
 	if len(up) == 0 {
 		return
 	}
@@ -263,6 +273,22 @@
 				20 * time.Second: func() { f.refuse = 0.55 },
 			}
 		},
+		"processes killed after a calm time": func(f *repeatFleet) map[time.Duration]func() {
+			f.refuse = 0
+			return map[time.Duration]func(){
+				11 * time.Second:         func() { f.refuse = 0.45 },
+				15 * time.Second:         func() { f.hosts[0].kill(); f.hosts[1].kill() },
+				15500 * time.Millisecond: func() { f.hosts[0].start(); f.hosts[1].start() },
+			}
+		},
+		"requests that move to other hosts": func(f *repeatFleet) map[time.Duration]func() {
+			f.refuse = 0
+			f.use = func(up []*repeatHost) []*repeatHost { return up[:2] }
+			return map[time.Duration]func(){
+				11 * time.Second: func() { f.refuse = 0.45 },
+				16 * time.Second: func() { f.use = func(up []*repeatHost) []*repeatHost { return up[2:] } },
+			}
+		},
 		"refusals after a calm time": func(f *repeatFleet) map[time.Duration]func() {
 			f.refuse, f.rate = 0, 8
 			return map[time.Duration]func(){11 * time.Second: func() { f.refuse = 0.6 }}
@@ -274,10 +300,7 @@
 				f := newRepeatFleet(seed, 4)
 				f.run(pattern(f))
 				repeats, allowed := f.worstWindow()
-				if float64(repeats) > allowed || seed == 4 {
-					knownred.Check(t, float64(repeats) <= allowed, "seed %d: %d repeats in %v, allowed %.0f", seed, repeats, fleetWindow, allowed)
-					return
-				}
+				require.LessOrEqual(t, float64(repeats), allowed, "seed %d: repeats in %v", seed, fleetWindow)
 			}
 		})
 	}
--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -123,9 +123,15 @@
 	p.env.Log.Info(message, "service", l.Service, "share", l.Share, "age", l.Age)
 }
 
-// countTargets returns the number of targets of a service in the registry.
+// countTargets returns the number of targets among which the repeats of a service are divided: those in the registry, or twice
+// as many if the node may have left the registry of others, which then divide its share among themselves.
 func (p *Process) countTargets(service string) int {
-	return len(p.board.Registry.Load().Services[service])
+	targets := len(p.board.Registry.Load().Services[service])
+	silence, ok := p.board.Freshness.Load().SinceResponse(p.env.Clock.Now())
+	if ok && silence > p.env.settings.AnnouncementTTL/2 {
+		targets *= 2
+	}
+	return targets
 }
 
 // listenDirect listens at the address of the direct entry, if there is one.
--- a/internal/node/direct_test.go
+++ b/internal/node/direct_test.go
@@ -7,6 +7,8 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/blackboard"
+	"github.com/guavaford/guavaford/internal/board"
 	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/feature"
 	"github.com/guavaford/guavaford/internal/registry"
@@ -74,3 +76,17 @@
 		}
 	}
 }
+
+// TestIsolatedNodeTakesAHalfOfItsShare guards against more repeats than a service may get while nodes are cut off: the others drop
+// them from the registry and divide their shares among themselves.
+func TestIsolatedNodeTakesAHalfOfItsShare(t *testing.T) {
+	b, err := board.New(blackboard.NewSection(&registry.View{Services: map[string][]*registry.Target{"s": nearAndFar()}}))
+	require.NoError(t, err)
+	p := &Process{board: b, env: environment{Dependencies: Dependencies{Clock: clock.System{}}, settings: &settings.Node{AnnouncementTTL: 5 * time.Second}}}
+	for silence, counted := range map[time.Duration]int{time.Second: 2, 4 * time.Second: 4} {
+		heard := time.Now().Add(-silence)
+		b.Freshness.Publish(&board.Freshness{RequestedAt: heard, RespondedAt: heard})
+		require.Equal(t, counted, p.countTargets("s"), "after %v without a response", silence)
+		require.Zero(t, p.countTargets("unknown"))
+	}
+}
--- a/internal/retry/allowance.go
+++ b/internal/retry/allowance.go
@@ -13,8 +13,8 @@
 //   - Backoff: the wait before a retry, with jitter. The retry is abandoned if the deadline leaves no
 //     time for it.
 //
-// Window is a fourth, optional bound at the node beside a target: it limits the retries that the target
-// accepts.
+// Bucket is a fourth, optional bound at the node beside a target: it limits the retries that the target
+// accepts, so that those of all targets of a service stay within one bound.
 //
 // A refusal whose Retried flag is set was already retried by a node further down the call path; see
 // MayRetry.
