peer: measure the silence of a peer by the monotonic clock

Callers would have waited: after a clock is set back, an exchange on a connection whose other end is dead is not probed until the time of day has caught up. Change: package-internal type silence, which keeps times since the connection was opened.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -27,8 +27,8 @@
 	retired atomic.Bool
 	// silent is set before the connection is closed for not answering pings.
 	silent atomic.Bool
-	// lastReceived is the time of the last complete answer or pong, in Unix nanoseconds.
-	lastReceived atomic.Int64
+	// silence measures the time since the last complete answer or pong.
+	silence silence
 	// pingSent and pongReceived are the numbers of the last ping sent and of the last ping answered.
 	pingSent     atomic.Uint64
 	pongReceived atomic.Uint64
@@ -55,6 +55,7 @@
 		return nil, err
 	}
 	c := &conn{
+		silence: silence{began: time.Now()},
 		session: session,
 		self:    id,
 		remote:  remote,
@@ -298,14 +299,10 @@
 }
 
 // noteReceived records that the peer has just answered.
-func (c *conn) noteReceived() {
-	c.lastReceived.Store(time.Now().UnixNano())
-}
+func (c *conn) noteReceived() { c.silence.end(time.Now()) }
 
 // sinceReceived returns the time since the peer last answered.
-func (c *conn) sinceReceived() time.Duration {
-	return time.Duration(time.Now().UnixNano() - c.lastReceived.Load())
-}
+func (c *conn) sinceReceived() time.Duration { return c.silence.length(time.Now()) }
 
 func (c *conn) needsProbe() bool {
 	return c.sinceReceived() > probeAfterIdle
