--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -92,6 +92,8 @@
 	repeats *retry.Bucket
 	// reported holds when load was last reported to each node, by route.
 	reported *reportTimes
+	// notices is what the target has said of itself.
+	notices *notices
 }
 
 // reportRecipient is a node that sends requests of a route.
@@ -139,7 +141,7 @@
 
 // newEntry returns the entry of a target that is new at this host.
 func (g *Gate) newEntry(config admission.Config) *targetEntry {
-	e := &targetEntry{admission: admission.NewController(config, g.opts.Clock), meter: shed.NewMeter(), reported: &reportTimes{at: map[reportRecipient]time.Time{}}}
+	e := &targetEntry{admission: admission.NewController(config, g.opts.Clock), meter: shed.NewMeter(), reported: &reportTimes{at: map[reportRecipient]time.Time{}}, notices: &notices{}}
 	if g.opts.RepeatLimit.Ratio > 0 {
 		e.repeats = retry.NewBucket(g.opts.RepeatLimit.Ratio, rand.Float64)
 	}
@@ -195,7 +197,7 @@
 	if !ok || e.target.Incarnation != t.Incarnation || e.target.Address != t.Address || !e.target.Started.Equal(t.Started) {
 		e = g.newEntry(config)
 	} else {
-		e = &targetEntry{admission: e.admission, meter: e.meter, repeats: e.repeats, reported: e.reported}
+		e = &targetEntry{admission: e.admission, meter: e.meter, repeats: e.repeats, reported: e.reported, notices: e.notices}
 		e.admission.Configure(config)
 	}
 	e.target = t
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -99,6 +99,7 @@
 	}
 	resp, err := x.gate.opts.Transport.RoundTrip(req)
 	if err == nil {
+		x.observeNotices(resp.Header)
 		refusal := x.targetRefusal(resp)
 		if refusal == nil {
 			return resp, nil
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -27,6 +27,10 @@
 	Organisation = "Guavaford-Organisation"
 	// Attempts is the number of times that the request was dispatched until its response.
 	Attempts = "Guavaford-Attempts"
+	// RateLimit is the number of requests per second that a target accepts for as long as its responses say so.
+	RateLimit = "Guavaford-Rate-Limit"
+	// Leaving marks the responses of a target that is about to leave.
+	Leaving = "Guavaford-Leaving"
 	// IdempotencyKey makes a non-idempotent request safe to resend.
 	IdempotencyKey = "Idempotency-Key"
 	// IdempotencyReplayed marks a response that was taken from the stored record of an earlier request with the same
@@ -50,6 +54,10 @@
 	Target string
 	// NotRun marks a response by which a target states that it did not run the request.
 	NotRun string
+	// RateLimit carries, in responses of a target, the requests per second that it accepts from all hosts together.
+	RateLimit string
+	// Leaving marks, with the value 1, the responses of a target that is about to leave.
+	Leaving string
 	// ParentID, if set, derives from the id of a call the id of the request on whose behalf a target makes it; empty
 	// if the id doesn't contain one. The result is only a hint, since a target may send any id.
 	ParentID func(id string) string
@@ -59,7 +67,7 @@
 
 // DefaultNames returns the names of the system's own interface.
 func DefaultNames() Names {
-	return Names{RequestID: RequestID, TimeoutMs: TimeoutMs, Organisation: Organisation, Handle: Handle}
+	return Names{RequestID: RequestID, TimeoutMs: TimeoutMs, Organisation: Organisation, Handle: Handle, RateLimit: RateLimit, Leaving: Leaving}
 }
 
 // Set sets a field unless its name or value is empty.
