--- a/internal/gate/notices_test.go
+++ b/internal/gate/notices_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/guavaford/guavaford/internal/headers"
+	"github.com/guavaford/guavaford/internal/knownred"
+	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
@@ -59,3 +66,43 @@
 		}
 	}
 }
+
+// TestTargetGetsNoMoreThanItNames guards against a target in need that gets more requests than the limit that it names: at most one and
+// a half times as many, and five more.
+func TestTargetGetsNoMoreThanItNames(t *testing.T) {
+	const perSecond = 50.0
+	var arrived atomic.Int64
+	f, _ := noticing(t, func(h http.Header) {
+		arrived.Add(1)
+		h.Set("Rate-Limit", "50")
+	})
+	read(t, f.gate.Do(t.Context(), header(true), nil))
+	before, start := arrived.Load(), time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				if answer := f.gate.Do(ctx, header(true), nil); answer.Body != nil {
+					_, _ = io.Copy(io.Discard, answer.Body)
+					_ = answer.Body.Close()
+				}
+			}
+		})
+	}
+	callers.Wait()
+	got, length := float64(arrived.Load()-before), time.Since(start).Seconds()
+	met := got <= 1.5*perSecond*length+5 && got >= 0.5*perSecond*1.5
+	knownred.Check(t, met, "%.0f requests in %.2f s at a limit of %.0f a second", got, length, perSecond)
+}
+
+// TestTargetThatLeavesGetsNoNewRequest guards against requests for a target that has said in a response that it leaves, before any
+// report says so.
+func TestTargetThatLeavesGetsNoNewRequest(t *testing.T) {
+	f, _ := noticing(t, func(h http.Header) { h.Set("Leaving", "1") })
+	read(t, f.gate.Do(t.Context(), header(true), nil))
+	refusal := f.gate.Do(t.Context(), header(true), nil).Refusal()
+	met := refusal != nil && refusal.Code == outcome.TargetLeaving && refusal.Ran == outcome.RanNo && !refusal.Reached
+	knownred.Check(t, met, "the target gets another request: %v", refusal)
+}
