admission: start no more requests at a target than it names as its limit

Callers saw nothing; targets that named limits of 38.4 and 49.5 requests a second got 523 and 607 in 4 s, 235 and 302 allowed (LIMIT). Cause: the limit that a target names in its answers had no effect: it was passed on like any field, and its slots were free, so that entries went on sending to it. Change: the gate beside the target, which all of its requests pass, bounds what starts in a second by a token bucket; requests beyond wait by rank or are refused as not run. The reported limit of requests in flight is what the rate keeps busy, and the load of the target is the larger of that of its slots and that of its rate, so that entries send less and shed by it.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -67,6 +67,8 @@
 	quickTime time.Duration
 	inFlight  int
 	draining  bool
+	// rate bounds the requests that start, as the target asks in its responses.
+	rate rateLimit
 	// decisions on queued requests that TakeDecisions has not returned yet.
 	decisions []QueuedDecision
 }
@@ -87,6 +89,38 @@
 	c.draining = draining
 }
 
+// SetRateLimit sets how many requests may start in a second; 0 ends the limit.
+func (c *StateMachine) SetRateLimit(now time.Time, perSecond float64) {
+	c.rate.set(now, perSecond)
+	c.dispatch(now)
+}
+
+// Wake starts queued requests that had to wait for the rate limit.
+func (c *StateMachine) Wake(now time.Time) {
+	c.dispatch(now)
+}
+
+// NextWake returns the time until Wake can start a queued request. It returns false if no queued request waits for the rate limit
+// alone.
+func (c *StateMachine) NextWake(now time.Time) (time.Duration, bool) {
+	if c.queue.length == 0 || c.inFlight >= c.slotLimit(now) {
+		return 0, false
+	}
+	wait := c.rate.untilNext(now)
+	return wait, wait > 0
+}
+
+// mayStart reports whether a slot is free and the rate limit allows another request.
+func (c *StateMachine) mayStart(now time.Time) bool {
+	return c.inFlight < c.slotLimit(now) && c.rate.untilNext(now) == 0
+}
+
+// start counts a request that starts now.
+func (c *StateMachine) start() {
+	c.inFlight++
+	c.rate.take()
+}
+
 // Arrive decides on a new request. The final decision on a queued one is returned by TakeDecisions later.
 func (c *StateMachine) Arrive(now time.Time, w *Waiter) Decision {
 	if c.draining {
@@ -102,8 +136,8 @@
 	if c.deadlineTooShort(now, &w.Request) {
 		return refuse(outcome.DeadlineTooShort, 0, "less time is left than the service takes")
 	}
-	if c.queue.length == 0 && c.inFlight < c.limit(now) {
-		c.inFlight++
+	if c.queue.length == 0 && c.mayStart(now) {
+		c.start()
 		return Decision{Verdict: Started}
 	}
 	return c.enqueue(now, w)
@@ -234,6 +268,8 @@
 		Cutoff:   c.cutoff(organisation),
 		Latency:  c.serviceTime.estimate(now),
 		Draining: c.draining,
+
+		RateLimit: c.rate.perSecond,
 	}
 }
 
@@ -256,9 +292,9 @@
 	return r.Depth == 0 && r.Level >= own
 }
 
-// dispatch starts queued requests while slots are free.
+// dispatch starts queued requests while slots are free and the rate limit allows it.
 func (c *StateMachine) dispatch(now time.Time) {
-	for limit := c.limit(now); c.inFlight < limit; {
+	for c.queue.length > 0 && c.mayStart(now) {
 		w := c.queue.pop()
 		if w == nil {
 			return
@@ -268,7 +304,7 @@
 			c.recordDecision(w, refuse(outcome.DeadlineTooShort, c.retryAfter(now), "queued until less time is left than the service takes"))
 			continue
 		}
-		c.inFlight++
+		c.start()
 		c.recordDecision(w, Decision{Verdict: Started})
 	}
 }
@@ -291,8 +327,18 @@
 	})
 }
 
-// limit returns how many requests may run now. It rises linearly during the cold start.
+// limit returns how many requests are to run at once: as many as slots allow, or as a rate limit keeps busy.
 func (c *StateMachine) limit(now time.Time) int {
+	slots := c.slotLimit(now)
+	if c.rate.perSecond == 0 || c.serviceTime.samples == 0 {
+		return slots
+	}
+	busy := int(math.Ceil(c.rate.perSecond * c.serviceTime.estimate(now).Seconds()))
+	return min(slots, max(busy, 1))
+}
+
+// slotLimit returns how many requests may run now. It rises linearly during the cold start.
+func (c *StateMachine) slotLimit(now time.Time) int {
 	limit := c.slots()
 	if c.config.FixedLimit {
 		limit = max(int(fixedLimitShare*float64(limit)), 1)
@@ -330,7 +376,11 @@
 
 // drainTime returns the expected time until n queued requests have started.
 func (c *StateMachine) drainTime(now time.Time, n int) time.Duration {
-	return time.Duration(float64(n) * float64(c.serviceTime.estimate(now)) / float64(c.limit(now)))
+	drain := time.Duration(float64(n) * float64(c.serviceTime.estimate(now)) / float64(c.limit(now)))
+	if c.rate.perSecond > 0 {
+		drain = max(drain, time.Duration(float64(n)/c.rate.perSecond*float64(time.Second)))
+	}
+	return drain
 }
 
 // deadlineTooShort reports whether less time is left than even a quick request takes.
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -6,6 +6,7 @@
 //
 //   - a limit: how many requests may run at once. It never exceeds the slots that the target
 //     announces, and adapts to the observed service time because that number may be wrong;
+//   - a rate limit, if the target names one in its responses: how many requests may start in a second;
 //   - a queue: requests that may run soon, ordered by class, then depth in the call tree
 //     (deeper first, since more work has been spent on them already), then organisation by
 //     weighted fair sharing, then deadline. It is bounded in length and in time;
@@ -19,6 +20,7 @@
 //	Release -> StateMachine.Finish -> limiter sample, next requests out of the queue
 //	ctx done -> StateMachine.Cancel -> removed from the queue
 //	timer -> StateMachine.Expire -> refused
+//	timer -> StateMachine.Wake -> started, once the rate limit allows it
 //
 // StateMachine is pure: it takes the time and an event, and returns the immediate decision; later
 // decisions on queued requests are collected by StateMachine.TakeDecisions. Controller adds a mutex,
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -16,6 +16,8 @@
 
 	mu   sync.Mutex
 	core *StateMachine
+	// waking is set while a timer will call wake.
+	waking bool
 }
 
 // NewController returns a controller for the target that c describes.
@@ -98,11 +100,36 @@
 	return Permit{gate: g, started: now}, nil
 }
 
-// deliver sends the decisions on queued requests to the goroutines that wait. The caller holds mu.
+// deliver sends the decisions on queued requests to the goroutines that wait, and starts a timer if others wait for the rate limit.
+// The caller holds mu.
 func (g *Controller) deliver() {
 	for _, r := range g.core.TakeDecisions() {
 		r.Waiter.decided <- r.Decision
 	}
+	if g.waking {
+		return
+	}
+	if after, ok := g.core.NextWake(g.clock.Now()); ok {
+		g.waking = true
+		time.AfterFunc(after, g.wake)
+	}
+}
+
+// wake starts queued requests that the rate limit now allows.
+func (g *Controller) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waking = false
+	g.core.Wake(g.clock.Now())
+	g.deliver()
+}
+
+// SetRateLimit sets how many requests may start in a second; 0 ends the limit.
+func (g *Controller) SetRateLimit(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.SetRateLimit(g.clock.Now(), perSecond)
+	g.deliver()
 }
 
 // Release frees the slot of the permit and reports how the request ended.
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -69,6 +69,8 @@
 	Cutoff   *apiv1.Cutoff
 	Latency  time.Duration
 	Draining bool
+	// RateLimit is the number of requests that may start in a second; 0 for no limit.
+	RateLimit float64
 }
 
 // Message returns the load as a message between nodes.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -152,6 +152,11 @@
 // time in which entry nodes react to them.
 const pressureInterval = 40 * time.Millisecond
 
+// capacityOf returns what a target can do by the state of its admission.
+func capacityOf(l admission.Load) shed.Capacity {
+	return shed.Capacity{Slots: l.Limit, PerSecond: l.RateLimit}
+}
+
 // load returns the target's load for the sender of a call, with the load of the services below it when a report is due.
 func (g *Gate) load(e *targetEntry, h *apiv1.CallHeader) *apiv1.LoadReport {
 	now := g.opts.Clock.Now()
@@ -160,7 +165,7 @@
 	if g.opts.LoadTracker == nil || !e.reportDue(now, reportRecipient{h.GetKey().GetNode(), h.GetRoute()}) {
 		return m
 	}
-	g.opts.LoadTracker.Observe(now, e.target.Service, e.target.ID(), e.meter.Load(now, load.Limit))
+	g.opts.LoadTracker.Observe(now, e.target.Service, e.target.ID(), e.meter.Load(now, capacityOf(load)))
 	m.Pressures = g.opts.LoadTracker.Report(now, workOf(h))
 	return m
 }
@@ -238,7 +243,7 @@
 	loads := make([]TargetLoad, 0, len(g.targets))
 	for _, e := range g.targets {
 		load := e.admission.Load()
-		loads = append(loads, TargetLoad{Target: e.target, Load: load, Reading: e.meter.Read(g.opts.Clock.Now(), load.Limit)})
+		loads = append(loads, TargetLoad{Target: e.target, Load: load, Reading: e.meter.Read(g.opts.Clock.Now(), capacityOf(load))})
 	}
 	return loads
 }
--- a/internal/gate/notices.go
+++ b/internal/gate/notices.go
@@ -71,6 +71,7 @@
 	}
 	former := n.rateLimit
 	n.rateLimit = named
+	x.entry.admission.SetRateLimit(named)
 	x.logNotice("target limits its rate", "per_second", named, "was", former)
 }
 
--- a/internal/gate/notices_test.go
+++ b/internal/gate/notices_test.go
@@ -48,10 +48,10 @@
 	})
 	for _, c := range []struct{ value, line string }{
 		{"38.4", `msg="target limits its rate" target=t1 service=s request= per_second=38.4 was=0`},
-		{"0", `per_second=0.5 was=38.4`},
 		{"many", `msg="notice of the target ignored" target=t1 service=s request= err="rate limit: strconv.ParseFloat`},
 		{"-1", `err="rate limit: \"-1\" is not a number`},
 		{"NaN", `err="rate limit: \"NaN\" is not a number`},
+		{"0", `per_second=0.5 was=38.4`},
 		{"", `per_second=0 was=0.5`},
 		{"leaving", `msg="target says that it leaves" target=t1`},
 	} {
@@ -93,8 +93,8 @@
 	}
 	callers.Wait()
 	got, length := float64(arrived.Load()-before), time.Since(start).Seconds()
-	met := got <= 1.5*perSecond*length+5 && got >= 0.5*perSecond*1.5
-	knownred.Check(t, met, "%.0f requests in %.2f s at a limit of %.0f a second", got, length, perSecond)
+	require.LessOrEqual(t, got, 1.5*perSecond*length+5, "in %.2f s", length)
+	require.GreaterOrEqual(t, got, 0.5*perSecond*1.5, "in %.2f s", length)
 }
 
 // TestTargetThatLeavesGetsNoNewRequest guards against requests for a target that has said in a response that it leaves, before any
--- a/internal/gate/pressure_test.go
+++ b/internal/gate/pressure_test.go
@@ -14,6 +14,7 @@
 	"github.com/guavaford/guavaford/internal/headers"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/retry"
+	"github.com/guavaford/guavaford/internal/shed"
 )
 
 // TestRefusalsByAnIdleTargetAreNotLoad guards against shedding requests that the target could serve: a target refuses
@@ -41,7 +42,7 @@
 	require.Greater(t, served, 20)
 	e, ok := f.gate.find("t1")
 	require.True(t, ok)
-	reading := e.meter.Read(time.Now(), 10)
+	reading := e.meter.Read(time.Now(), shed.Capacity{Slots: 10})
 	require.Less(t, reading.Load, 0.2, "load with one request at a time in ten slots: %+v", reading)
 }
 
@@ -71,6 +72,6 @@
 		}
 	}
 	require.Greater(t, refused, 200)
-	reading := e.meter.Read(time.Now(), 10)
+	reading := e.meter.Read(time.Now(), shed.Capacity{Slots: 10})
 	require.Less(t, reading.Load, 0.2, "load with one request at a time in ten slots: %+v", reading)
 }
--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -209,7 +209,7 @@
 			}
 			p.env.Log.Info("target load", "target", t.Target.Name, "service", t.Target.Service, "load", t.Reading.Load,
 				"arrivals_per_s", t.Reading.ArrivalsPerSecond, "held", t.Reading.MeanServiceTime,
-				"in_flight", t.Load.InFlight, "queued", t.Load.Queued, "limit", t.Load.Limit)
+				"in_flight", t.Load.InFlight, "queued", t.Load.Queued, "limit", t.Load.Limit, "rate_limit", t.Load.RateLimit)
 		}
 	}
 }
--- a/internal/shed/meter.go
+++ b/internal/shed/meter.go
@@ -78,7 +78,7 @@
 
 // Reading is the measured load of a target.
 type Reading struct {
-	// Load is the offered work as a share of the capacity of the slots.
+	// Load is the offered work as a share of the capacity.
 	Load float64
 	// ArrivalsPerSecond is the rate of arrivals; MeanServiceTime is the mean time for which a completed request held
 	// its slot.
@@ -86,9 +86,17 @@
 	MeanServiceTime   time.Duration
 }
 
-// Read returns the current reading for a number of slots.
-func (m *Meter) Read(now time.Time, slots int) Reading {
-	r := Reading{Load: m.Load(now, slots)}
+// Capacity is what a target can do.
+type Capacity struct {
+	// Slots is the number of requests that it serves at once.
+	Slots int
+	// PerSecond is the number of requests that it accepts in a second; 0 for no such limit.
+	PerSecond float64
+}
+
+// Read returns the current reading for a capacity.
+func (m *Meter) Read(now time.Time, c Capacity) Reading {
+	r := Reading{Load: m.Load(now, c)}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r.ArrivalsPerSecond = m.arrivals / meterDecay.Seconds()
@@ -98,15 +106,19 @@
 	return r
 }
 
-// Load returns the offered work as a share of the capacity of the slots, or 0 without enough samples.
-func (m *Meter) Load(now time.Time, slots int) float64 {
+// Load returns the offered work as a share of the capacity, or 0 without enough samples.
+func (m *Meter) Load(now time.Time, c Capacity) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.decay(now)
 	age := now.Sub(m.startedAt)
-	if m.startedAt.IsZero() || age < meterWarmUp || m.finished < 1 || slots <= 0 {
+	if m.startedAt.IsZero() || age < meterWarmUp || m.finished < 1 || c.Slots <= 0 {
 		return 0
 	}
 	window := meterDecay.Seconds() * (1 - math.Exp(-age.Seconds()/meterDecay.Seconds()))
-	return (m.arrivals*m.slotSeconds/m.finished + m.abortedSlotSeconds) / window / float64(slots)
+	load := (m.arrivals*m.slotSeconds/m.finished + m.abortedSlotSeconds) / window / float64(c.Slots)
+	if c.PerSecond > 0 {
+		load = max(load, m.arrivals/window/c.PerSecond)
+	}
+	return load
 }
--- a/internal/shed/shed_test.go
+++ b/internal/shed/shed_test.go
@@ -203,9 +203,9 @@
 		m.Arrived(now)
 		m.Finished(now, 20*time.Millisecond)
 	}
-	require.InDelta(t, 1.0, m.Load(now, 20), 0.1, "1000 requests per second of 20 ms each must fill 20 slots")
-	require.InDelta(t, 0.5, m.Load(now, 40), 0.05)
-	require.Zero(t, NewMeter().Load(now, 20))
+	require.InDelta(t, 1.0, m.Load(now, Capacity{Slots: 20}), 0.1, "1000 requests per second of 20 ms each must fill 20 slots")
+	require.InDelta(t, 0.5, m.Load(now, Capacity{Slots: 40}), 0.05)
+	require.Zero(t, NewMeter().Load(now, Capacity{Slots: 20}))
 }
 
 // TestAbortedRequestsCountOnlyTheirOwnSlotTime guards against an overestimated load. A target refuses most
@@ -222,7 +222,7 @@
 			m.Aborted(now, 5*time.Millisecond)
 		}
 	}
-	require.InDelta(t, 0.72, m.Load(now, 20), 0.1, "load of 100 requests per second of 100 ms and 900 of 5 ms on 20 slots")
+	require.InDelta(t, 0.72, m.Load(now, Capacity{Slots: 20}), 0.1, "load of 100 requests per second of 100 ms and 900 of 5 ms on 20 slots")
 }
 
 // TestReportIncludesDownstreamServices guards against readings of downstream services that are lost or get
@@ -312,3 +312,17 @@
 		require.True(t, r.MakesCalls(now, ServiceRoute{"front", route}))
 	}
 }
+
+// TestMeterShowsARateLimit guards against a target that looks idle since its slots are free, while it accepts few requests: the load is
+// that of the scarcer of both.
+func TestMeterShowsARateLimit(t *testing.T) {
+	m, now := NewMeter(), time.Unix(1, 0)
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		m.Arrived(now)
+		m.Finished(now, 20*time.Millisecond)
+	}
+	require.InDelta(t, 0.1, m.Load(now, Capacity{Slots: 20}), 0.02, "100 requests per second of 20 ms each")
+	require.InDelta(t, 2, m.Load(now, Capacity{Slots: 20, PerSecond: 50}), 0.1)
+	require.InDelta(t, 2, m.Load(now, Capacity{Slots: 1, PerSecond: 1000}), 0.2)
+}
--- a/internal/shed/zones_test.go
+++ b/internal/shed/zones_test.go
@@ -172,7 +172,7 @@
 
 // reportLoad sends the load of a target with its response.
 func (z *zoneSim) reportLoad(t *zoneTarget, r *zoneRequest) {
-	t.relay.Observe(z.now, "s", t.record.ID(), t.meter.Load(z.now, zoneSlots))
+	t.relay.Observe(z.now, "s", t.record.ID(), t.meter.Load(z.now, Capacity{Slots: zoneSlots}))
 	r.entry.relay.Learn(z.now, ServiceRoute{Service: "s"}, t.record.ID(), t.relay.Report(z.now, ServiceRoute{Service: "s"}))
 }
 
