gate, route: send nothing more to a target that says in its answers that it leaves

Cause: Server-Leaving was passed on unread. Change: the gate beside the target refuses new requests as not run from the first such answer on and has the target announced as leaving, whatever its reports say, for the rest of its run. Answers tell the entries, which keep away from that run themselves: the node beside the target may restart and forget. So that a run can be told from the next one after such a restart, a target that reports when it started keeps that time as its start; entries begin anew with a target whose node has restarted, as before.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -65,6 +65,8 @@
 	Transport http.RoundTripper
 	// HeaderNames are the names of the header fields in requests to targets; nil selects the default names.
 	HeaderNames *headers.Names
+	// OnLeaving, if set, is called once for each run of a target that says in a response that it leaves.
+	OnLeaving func(t *registry.Target)
 	// RepeatLimit bounds the repeated attempts that targets receive.
 	RepeatLimit RepeatLimit
 	// LoadTracker, if set, exchanges the load of services between nodes, including those that
@@ -162,6 +164,7 @@
 	now := g.opts.Clock.Now()
 	load := e.admission.LoadFor(h.GetOrganisation())
 	m := load.Message()
+	m.Leaving = e.notices.isLeaving()
 	if g.opts.LoadTracker == nil || !e.reportDue(now, reportRecipient{h.GetKey().GetNode(), h.GetRoute()}) {
 		return m
 	}
@@ -207,7 +210,7 @@
 	}
 	e.target = t
 	leaving := t.State == apiv1.TargetState_TARGET_STATE_LEAVING || g.opts.Policies.Draining(t)
-	e.admission.SetDraining(leaving || g.closing)
+	e.setDraining(leaving || g.closing)
 	return e
 }
 
--- a/internal/gate/notices.go
+++ b/internal/gate/notices.go
@@ -17,7 +17,8 @@
 	rateLimit float64
 	// limitedAt is when the last response arrived that named a limit.
 	limitedAt time.Time
-	leaving   bool
+	// leaving is set once the target has said that it leaves. It ends with this run of the target.
+	leaving bool
 }
 
 // minRateLimit is the lowest rate limit, in requests per second. A target that accepts less still gets a request now and then: only
@@ -75,16 +76,36 @@
 	x.logNotice("target limits its rate", "per_second", named, "was", former)
 }
 
-// observeLeaving takes over that the target leaves.
+// observeLeaving takes over that the target leaves: from now on it gets no new request.
 func (x *execution) observeLeaving() {
 	n := x.entry.notices
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.leaving {
+	known := n.leaving
+	n.leaving = true
+	x.entry.admission.SetDraining(true)
+	n.mu.Unlock()
+	if known {
 		return
 	}
-	n.leaving = true
 	x.logNotice("target says that it leaves")
+	if x.gate.opts.OnLeaving != nil {
+		x.gate.opts.OnLeaving(x.entry.target)
+	}
+}
+
+// setDraining makes the admission of the target refuse new requests, or accept them again unless the target has said that it
+// leaves.
+func (e *targetEntry) setDraining(draining bool) {
+	e.notices.mu.Lock()
+	defer e.notices.mu.Unlock()
+	e.admission.SetDraining(draining || e.notices.leaving)
+}
+
+// isLeaving reports whether the target has said that it leaves.
+func (n *notices) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
 }
 
 // logNotice logs what the response to a request says of the target.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -219,6 +219,7 @@
 		Transport:   p.env.TargetTransport,
 		HeaderNames: p.env.HeaderNames,
 		LoadTracker: p.loadTracker,
+		OnLeaving:   func(t *registry.Target) { p.local.MarkLeaving(p.env.Clock.Now(), t.Name, t.Started) },
 		RepeatLimit: gate.RepeatLimit{Ratio: s.RepeatRatio, Reserve: s.RepeatReserve, Window: s.RepeatWindow, Targets: p.countTargets},
 	})
 	registerGate(p.peers, p.env.identity, p.gate)
--- a/internal/registry/local.go
+++ b/internal/registry/local.go
@@ -128,11 +128,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.announce(now, a)
+	return l.announce(now, a, time.Time{})
 }
 
-// announce applies a valid announcement. The caller holds the lock.
-func (l *Local) announce(now time.Time, a Announcement) (*Target, *outcome.Refusal) {
+// announce applies a valid announcement. A process that does not say when it started counts from its first announcement. The caller
+// holds the lock.
+func (l *Local) announce(now time.Time, a Announcement, started time.Time) (*Target, *outcome.Refusal) {
 	if a.State == apiv1.TargetState_TARGET_STATE_UNSPECIFIED {
 		a.State = apiv1.TargetState_TARGET_STATE_READY
 	}
@@ -144,9 +145,12 @@
 	if entry == nil && len(l.entries) >= maxLocalTargets {
 		return nil, outcome.NotRun(outcome.BadRequest, 0, "this host already has the maximum of %d targets", maxLocalTargets)
 	}
-	started := now
-	if entry != nil && sameProcess(entry.target.Announcement, a) {
+	switch {
+	case !started.IsZero():
+	case entry != nil && sameProcess(entry.target.Announcement, a):
 		started = entry.target.Started
+	default:
+		started = now
 	}
 	l.version++
 	l.dropAddress(a)
@@ -242,15 +246,19 @@
 	if entry == nil {
 		return outcome.NotRun(outcome.NoTarget, 0, "target %q is not announced", name)
 	}
-	if entry.target.State == state {
-		return nil
+	if entry.target.State != state {
+		l.setState(entry, state)
 	}
+	return nil
+}
+
+// setState replaces a target by one in another state. The caller holds the lock.
+func (l *Local) setState(entry *localEntry, state apiv1.TargetState) {
 	l.version++
 	a := entry.target.Announcement
 	a.State = state
 	entry.target = l.newTarget(a, entry.target.Started)
 	l.publish()
-	return nil
 }
 
 // Remove removes a target.
--- a/internal/registry/report.go
+++ b/internal/registry/report.go
@@ -32,9 +32,11 @@
 
 // lastReport identifies the last accepted report of a target.
 type lastReport struct {
-	start     time.Time
-	sequence  uint64
-	left      bool
+	start    time.Time
+	sequence uint64
+	left     bool
+	// leaving is set once the process has said otherwise than by a report that it leaves.
+	leaving   bool
 	updatedAt time.Time
 }
 
@@ -61,13 +63,35 @@
 	case l.addressHeldByNewer(r):
 		return ReportFromEndedProcess, nil
 	}
-	if _, refusal := l.announce(now, r.Announcement); refusal != nil {
+	leaving := known && r.Start.Equal(last.start) && last.leaving
+	if leaving {
+		r.State = apiv1.TargetState_TARGET_STATE_LEAVING
+	}
+	if _, refusal := l.announce(now, r.Announcement, r.Start); refusal != nil {
 		return "", refusal
 	}
-	l.lastReports[r.Name] = lastReport{start: r.Start, sequence: r.Sequence, updatedAt: now}
+	l.lastReports[r.Name] = lastReport{start: r.Start, sequence: r.Sequence, leaving: leaving, updatedAt: now}
 	return ReportAccepted, nil
 }
 
+// MarkLeaving sets the state of a target to LEAVING for the rest of the run that started at a time, whatever its reports say. It does
+// nothing if another run is announced.
+func (l *Local) MarkLeaving(now time.Time, name string, started time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry := l.entries[name]
+	if entry == nil || !entry.target.Started.Equal(started) {
+		return
+	}
+	if last, known := l.lastReports[name]; known {
+		last.leaving, last.updatedAt = true, now
+		l.lastReports[name] = last
+	}
+	if entry.target.State != apiv1.TargetState_TARGET_STATE_LEAVING {
+		l.setState(entry, apiv1.TargetState_TARGET_STATE_LEAVING)
+	}
+}
+
 // addressHeldByNewer reports whether another target that started later is announced at the address of the report.
 // The caller holds the lock.
 func (l *Local) addressHeldByNewer(r Report) bool {
--- a/internal/registry/report_test.go
+++ b/internal/registry/report_test.go
@@ -38,6 +38,31 @@
 	require.Equal(t, leavingState, l.Section().Load().Targets["a"].State)
 }
 
+// TestTargetThatSaysItLeavesStaysLeaving guards against a report that makes a target ready again after it has said in an answer that it
+// leaves, and against a mark that outlasts that run of the target.
+func TestTargetThatSaysItLeavesStaysLeaving(t *testing.T) {
+	l, now := NewLocal(LocalOptions{Node: "n"}), time.Now()
+	state := func() apiv1.TargetState { return l.Section().Load().Targets["a"].State }
+	takeReport(t, l, now, newReport("a", 1, 1, readyState))
+	l.MarkLeaving(now, "a", time.UnixMilli(2))
+	require.Equal(t, readyState, state(), "another run")
+	l.MarkLeaving(now, "a", time.UnixMilli(1))
+	require.Equal(t, leavingState, state())
+	takeReport(t, l, now, newReport("a", 1, 2, readyState))
+	require.Equal(t, leavingState, state())
+	takeReport(t, l, now, newReport("a", 2, 1, readyState))
+	require.Equal(t, readyState, state(), "the next run")
+}
+
+// TestStartOfATargetOutlastsItsNode guards against a restarted node that makes a run of a target look like another one.
+func TestStartOfATargetOutlastsItsNode(t *testing.T) {
+	for incarnation := range uint64(2) {
+		l := NewLocal(LocalOptions{Node: "n", Incarnation: incarnation})
+		takeReport(t, l, time.Now(), newReport("a", 1, 1, readyState))
+		require.True(t, FromRecord(l.Section().Load().Targets["a"].Record()).Started.Equal(time.UnixMilli(1)))
+	}
+}
+
 // TestRestartedTargetResetsReportSequence guards against rejecting the reports of a new process because its sequence
 // numbers start again, and against accepting delayed reports of the old process.
 func TestRestartedTargetResetsReportSequence(t *testing.T) {
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -111,13 +111,17 @@
 
 	mu      sync.Mutex
 	tracked map[string]trackedTarget
+	// targets are those of the last Update.
+	targets []*registry.Target
+	leaving leavingTargets
 }
 
 // trackedTarget holds the statistics of a target and what the last Update said of it.
 type trackedTarget struct {
 	*targetStats
-	started   time.Time
-	takesWork bool
+	started     time.Time
+	incarnation uint64
+	takesWork   bool
 }
 
 // table is an immutable set of the targets that accept new calls; local ones are in the data centre of this node.
@@ -140,13 +144,19 @@
 func (p *Picker) Update(targets []*registry.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.now()
+	p.update(p.now(), targets)
+}
+
+// update replaces the targets. The caller holds mu.
+func (p *Picker) update(now int64, targets []*registry.Target) {
 	tracked := make(map[string]trackedTarget, len(targets))
 	next := &table{}
+	p.targets = targets
+	p.leaving.prune(now)
 	for _, t := range targets {
 		k, ok := p.tracked[t.ID()]
-		if !ok || !k.started.Equal(t.Started) {
-			k = trackedTarget{targetStats: newTargetStats(p.slowStartFrom(now, t)), started: t.Started}
+		if !ok || !k.started.Equal(t.Started) || k.incarnation != t.Incarnation {
+			k = trackedTarget{targetStats: newTargetStats(p.slowStartFrom(now, t)), started: t.Started, incarnation: t.Incarnation}
 		}
 		if takesWork(t) && !k.takesWork {
 			k.drainingUntilNs.Store(never)
@@ -154,7 +164,7 @@
 		k.takesWork = takesWork(t)
 		tracked[t.ID()] = k
 		switch {
-		case !takesWork(t):
+		case !takesWork(t) || p.leaving.contains(t):
 		case t.DataCentre == p.dataCentre:
 			next.local = append(next.local, entry{target: t, targetStats: k.targetStats})
 		default:
@@ -165,6 +175,17 @@
 	p.table.Store(next)
 }
 
+// markLeaving keeps all further calls away from this run of a target.
+func (p *Picker) markLeaving(now int64, t *registry.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.leaving.contains(t)
+	p.leaving.add(now, t)
+	if !known {
+		p.update(now, p.targets)
+	}
+}
+
 // slowStartFrom returns when the slow start of a target that is new to this picker began. Targets
 // of the first update ran before this node knew the service, unless their state is cold.
 func (p *Picker) slowStartFrom(now int64, t *registry.Target) int64 {
@@ -398,6 +419,9 @@
 	p, m := c.picker, c.entry.targetStats
 	now := p.now()
 	m.inFlight.Add(-1)
+	if o.Load.GetLeaving() {
+		p.markLeaving(now, c.entry.target)
+	}
 	if c.latency != nil {
 		c.latency.end(now)
 	}
