registry: refuse reports with numbers that no process of a target can send

Callers would have been refused at a service whose targets are all well: another writer leaves one report with a sequence or a start that is too large, it is taken for one of the target, and the target's own reports look late until it counts as gone. Cause: any number that fits its type was accepted as the sequence and as the start of a process.

--- a/internal/registry/report.go
+++ b/internal/registry/report.go
@@ -44,10 +44,29 @@
 // can be delayed.
 const reportRetention = 2 * time.Minute
 
+// Bounds of what a report may say of its process. A report beyond them is not one of the target's own, and would make these look late.
+const (
+	// maxReportSequence is the largest number that every writer of JSON holds exactly.
+	maxReportSequence = 1 << 53
+	// maxStartAhead is how far the clock of a target may be ahead of that of its node.
+	maxStartAhead = 24 * time.Hour
+)
+
+// checkReport returns a refusal if a report can't come from a process of the target.
+func checkReport(now time.Time, r Report) *outcome.Refusal {
+	switch {
+	case r.Sequence > maxReportSequence:
+		return outcome.NotRun(outcome.BadRequest, 0, "report: sequence %d is above %d", r.Sequence, uint64(maxReportSequence))
+	case r.Start.Before(time.Unix(0, 0)) || r.Start.After(now.Add(maxStartAhead)):
+		return outcome.NotRun(outcome.BadRequest, 0, "report: the process started at %v, which is not in the past", r.Start)
+	}
+	return checkAnnouncement(r.Announcement)
+}
+
 // ApplyReport applies a report unless it accepted a later one before: from the same process, from a later process
 // of the target, or from a later target at the same address.
 func (l *Local) ApplyReport(now time.Time, r Report) (ReportResult, *outcome.Refusal) {
-	if refusal := checkAnnouncement(r.Announcement); refusal != nil {
+	if refusal := checkReport(now, r); refusal != nil {
 		return "", refusal
 	}
 	l.mu.Lock()
