gate, route: keep to a known rate limit while the gate has not heard the target itself

Cause: only the gate knew the limit. Change: answers tell entries the limit, which remember it for that run of the target as they remember that it leaves, and send it along; a gate that has had no answer of the target applies it until the first one.

--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -82,6 +82,7 @@
 		Cutoff:    l.Cutoff,
 		LatencyNs: int64(l.Latency),
 		Draining:  l.Draining,
+		RateLimit: l.RateLimit,
 	}
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -132,6 +132,7 @@
 	d := c.dispatcher
 	target := choice.Target()
 	header := c.header(target)
+	header.KnownRateLimit = choice.RateLimit()
 	c.attempts++
 	c.tried = append(c.tried, target.ID())
 	d.o.Metrics.Attempts.Add(1)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -294,6 +294,7 @@
 		return admission.Permit{}, r
 	}
 	e.meter.Arrived(start)
+	e.adoptRateLimit(h.GetKnownRateLimit())
 	permit, refusal := e.admission.Acquire(ctx, admission.Request{
 		Organisation: h.GetOrganisation(),
 		Weight:       h.GetWeight(),
--- a/internal/gate/notices.go
+++ b/internal/gate/notices.go
@@ -13,6 +13,8 @@
 // notices is what a target has said of itself in its responses.
 type notices struct {
 	mu sync.Mutex
+	// heard is set once the target has answered a request of this gate.
+	heard bool
 	// rateLimit is the number of requests per second that the target accepts; 0 if it names none.
 	rateLimit float64
 	// limitedAt is when the last response arrived that named a limit.
@@ -62,6 +64,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.heard = true
 	if named > 0 {
 		n.limitedAt = now
 	} else if x.started.Before(n.limitedAt) {
@@ -76,6 +79,22 @@
 	x.logNotice("target limits its rate", "per_second", named, "was", former)
 }
 
+// adoptRateLimit applies the rate limit that a caller has heard from the target, until the target answers a request of this gate. The gate
+// may have restarted and not know the limit, while the target gets its first requests.
+func (e *targetEntry) adoptRateLimit(known float64) {
+	if !(known > 0) || math.IsInf(known, 0) {
+		return
+	}
+	n := e.notices
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.heard || n.rateLimit == known {
+		return
+	}
+	n.rateLimit = known
+	e.admission.SetRateLimit(known)
+}
+
 // observeLeaving takes over that the target leaves: from now on it gets no new request.
 func (x *execution) observeLeaving() {
 	n := x.entry.notices
--- a/internal/gate/notices_test.go
+++ b/internal/gate/notices_test.go
@@ -134,3 +134,34 @@
 	require.False(t, answer.Header.GetLoad().GetLeaving())
 	read(t, answer)
 }
+
+// TestGateThatHasNotHeardKeepsToTheKnownLimit guards against a target in need that gets a flood of requests from a gate that has
+// restarted: until the target answers, the gate keeps to the limit that callers have heard.
+func TestGateThatHasNotHeardKeepsToTheKnownLimit(t *testing.T) {
+	var arrived atomic.Int64
+	answer := make(chan struct{})
+	f, _ := noticing(t, func(http.Header) {
+		arrived.Add(1)
+		<-answer
+	})
+	release := sync.OnceFunc(func() { close(answer) })
+	t.Cleanup(release)
+	var callers sync.WaitGroup
+	for range 10 {
+		callers.Go(func() {
+			h := header(true)
+			h.KnownRateLimit = 4
+			f.gate.Do(t.Context(), h, nil)
+		})
+	}
+	start := time.Now()
+	require.Eventually(t, func() bool { return arrived.Load() > 0 }, 5*time.Second, time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	require.LessOrEqual(t, float64(arrived.Load()), 1+4*time.Since(start).Seconds())
+	release()
+	callers.Wait()
+	e, _ := f.gate.find("t1")
+	require.Zero(t, e.admission.Load().RateLimit, "the target has answered and names none")
+	e.adoptRateLimit(4)
+	require.Zero(t, e.admission.Load().RateLimit)
+}
--- a/internal/peer/headercompression.go
+++ b/internal/peer/headercompression.go
@@ -62,7 +62,7 @@
 		Weight: h.Weight, Class: h.Class, Priority: h.Priority, Depth: h.Depth, TimeoutNs: h.TimeoutNs,
 		Allowance: h.Allowance, Level: h.Level, KeyNumber: h.KeyNumber, Idempotent: h.Idempotent, Method: h.Method,
 		Path: h.Path, ContentLength: h.ContentLength, Attempt: h.Attempt, Route: h.Route, Host: h.Host,
-		CallerService: h.CallerService, MaxWaitNs: h.MaxWaitNs, Repeat: h.Repeat,
+		CallerService: h.CallerService, MaxWaitNs: h.MaxWaitNs, Repeat: h.Repeat, KnownRateLimit: h.KnownRateLimit,
 	}
 	if h.Key.GetNode() == self.Node && h.Key.GetIncarnation() == self.Incarnation {
 		out.Key = &apiv1.CallKey{Number: h.Key.GetNumber()}
--- a/internal/route/member.go
+++ b/internal/route/member.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,8 @@
 	// reportedLimit its limit of requests in flight, both by the last report.
 	reportedLoad  atomic.Int64
 	reportedLimit atomic.Int64
+	// rateLimitBits holds the rate limit that the target last named, as the bits of a float64.
+	rateLimitBits atomic.Uint64
 
 	mu     sync.Mutex
 	health health
@@ -97,6 +100,13 @@
 	}
 }
 
+// rateLimit returns the rate limit that the target last named; 0 for none.
+func (m *targetStats) rateLimit() float64 { return math.Float64frombits(m.rateLimitBits.Load()) }
+
+func (m *targetStats) setRateLimit(perSecond float64) {
+	m.rateLimitBits.Store(math.Float64bits(perSecond))
+}
+
 // latency returns the smoothed latency in nanoseconds. While the target is idle, it approaches
 // the latency of the service.
 func (m *targetStats) latency(now, service int64) float64 {
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -113,7 +113,7 @@
 	tracked map[string]trackedTarget
 	// targets are those of the last Update.
 	targets []*registry.Target
-	leaving leavingTargets
+	notices notices
 }
 
 // trackedTarget holds the statistics of a target and what the last Update said of it.
@@ -152,11 +152,12 @@
 	tracked := make(map[string]trackedTarget, len(targets))
 	next := &table{}
 	p.targets = targets
-	p.leaving.prune(now)
+	p.notices.prune(now)
 	for _, t := range targets {
 		k, ok := p.tracked[t.ID()]
 		if !ok || !k.started.Equal(t.Started) || k.incarnation != t.Incarnation {
 			k = trackedTarget{targetStats: newTargetStats(p.slowStartFrom(now, t)), started: t.Started, incarnation: t.Incarnation}
+			k.setRateLimit(p.notices.rateLimit(t))
 		}
 		if takesWork(t) && !k.takesWork {
 			k.drainingUntilNs.Store(never)
@@ -164,7 +165,7 @@
 		k.takesWork = takesWork(t)
 		tracked[t.ID()] = k
 		switch {
-		case !takesWork(t) || p.leaving.contains(t):
+		case !takesWork(t) || p.notices.leaving(t):
 		case t.DataCentre == p.dataCentre:
 			next.local = append(next.local, entry{target: t, targetStats: k.targetStats})
 		default:
@@ -175,13 +176,11 @@
 	p.table.Store(next)
 }
 
-// markLeaving keeps all further calls away from this run of a target.
-func (p *Picker) markLeaving(now int64, t *registry.Target) {
+// observeNotices takes over what a target says of itself. A target that leaves gets no further call in this run.
+func (p *Picker) observeNotices(now int64, t *registry.Target, leaving bool, rateLimit float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.leaving.contains(t)
-	p.leaving.add(now, t)
-	if !known {
+	if p.notices.update(now, t, leaving, rateLimit) {
 		p.update(now, p.targets)
 	}
 }
@@ -414,13 +413,19 @@
 	return c.entry.target
 }
 
+// RateLimit returns the number of requests per second that the target accepts, as it last said; 0 for no such limit.
+func (c Choice) RateLimit() float64 {
+	return c.entry.rateLimit()
+}
+
 // Done records how the call ended. It must be called once.
 func (c Choice) Done(o Observation) {
 	p, m := c.picker, c.entry.targetStats
 	now := p.now()
 	m.inFlight.Add(-1)
-	if o.Load.GetLeaving() {
-		p.markLeaving(now, c.entry.target)
+	if rateLimit := o.Load.GetRateLimit(); o.Load != nil && (o.Load.GetLeaving() || rateLimit != m.rateLimit()) {
+		m.setRateLimit(rateLimit)
+		p.observeNotices(now, c.entry.target, o.Load.GetLeaving(), rateLimit)
 	}
 	if c.latency != nil {
 		c.latency.end(now)
