gate: ignore what another target at the address says of itself

Callers: a target could be kept from requests, or be held to a limit, that another one at its former address named. Cause: a response 421 comes from another target, and its notices were taken for those of the target that was meant. Found by reading. Change: notices of such responses are not read. Evidence: TestNoticesOfAnotherTargetAtTheAddressAreIgnored failed before.

--- a/internal/admission/ratelimit_test.go
+++ b/internal/admission/ratelimit_test.go
@@ -50,6 +50,37 @@
 	})
 }
 
+// TestRateLimitIsUsed guards against a target that gets much less than the limit that it names while requests wait for it.
+func TestRateLimitIsUsed(t *testing.T) {
+	const length = 20 * time.Second
+	for _, perSecond := range []float64{2, 38.4, 200} {
+		start := time.Unix(1000, 0)
+		c := NewStateMachine(Config{Slots: 50, FixedLimit: true, NoShedding: true})
+		c.SetRateLimit(start, perSecond)
+		total := 0
+		var ends []time.Time
+		for now := start; now.Sub(start) < length; now = now.Add(time.Millisecond) {
+			for len(ends) > 0 && !ends[0].After(now) {
+				c.Finish(now, ends[0].Add(-100*time.Millisecond), Result{Kind: Success})
+				ends = ends[1:]
+			}
+			// A caller asks each two milliseconds and waits for two seconds at most.
+			if now.UnixMilli()%2 == 0 && c.Arrive(now, &Waiter{Request: Request{MaxWait: 2 * time.Second, Deadline: now.Add(5 * time.Second)}}).Verdict == Started {
+				total++
+				ends = append(ends, now.Add(100*time.Millisecond))
+			}
+			c.Wake(now)
+			for _, d := range c.TakeDecisions() {
+				if d.Verdict == Started {
+					total++
+					ends = append(ends, now.Add(100*time.Millisecond))
+				}
+			}
+		}
+		require.InDelta(t, perSecond*length.Seconds(), total, 0.05*perSecond*length.Seconds()+1, "limit %v", perSecond)
+	}
+}
+
 // TestMoreImportantRequestsStartFirstAtARateLimit guards against a rate limit that is spent in the order of arrival.
 func TestMoreImportantRequestsStartFirstAtARateLimit(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/gate/notices_test.go
+++ b/internal/gate/notices_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -78,13 +77,11 @@
 	})
 	read(t, f.gate.Do(t.Context(), header(true), nil))
 	before, start := arrived.Load(), time.Now()
-	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
-	defer cancel()
 	var callers sync.WaitGroup
 	for range 4 {
 		callers.Go(func() {
-			for ctx.Err() == nil {
-				if answer := f.gate.Do(ctx, header(true), nil); answer.Body != nil {
+			for time.Since(start) < 1500*time.Millisecond {
+				if answer := f.gate.Do(t.Context(), header(true), nil); answer.Body != nil {
 					_, _ = io.Copy(io.Discard, answer.Body)
 					_ = answer.Body.Close()
 				}
@@ -135,6 +132,27 @@
 	read(t, answer)
 }
 
+// TestNoticesOfAnotherTargetAtTheAddressAreIgnored guards against what another target says of itself: it has taken over the address and
+// answers that it is not the one that was meant.
+func TestNoticesOfAnotherTargetAtTheAddressAreIgnored(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Rate-Limit", "1")
+		w.Header().Set("Leaving", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	t.Cleanup(target.Close)
+	f := newFixture(t, strings.TrimPrefix(target.URL, "http://"), 10)
+	names := noticeNames
+	names.Target = "Target"
+	f.gate.opts.HeaderNames = &names
+	for range 2 {
+		answer := f.gate.Do(t.Context(), header(true), nil)
+		require.True(t, answer.Refusal().Reached, "the request goes to the address")
+		require.False(t, answer.Header.GetLoad().GetLeaving())
+		require.Zero(t, answer.Header.GetLoad().GetRateLimit())
+	}
+}
+
 // TestGateThatHasNotHeardKeepsToTheKnownLimit guards against a target in need that gets a flood of requests from a gate that has
 // restarted: until the target answers, the gate keeps to the limit that callers have heard.
 func TestGateThatHasNotHeardKeepsToTheKnownLimit(t *testing.T) {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -99,7 +99,10 @@
 	}
 	resp, err := x.gate.opts.Transport.RoundTrip(req)
 	if err == nil {
-		x.observeNotices(resp.Header)
+		if resp.StatusCode != http.StatusMisdirectedRequest {
+			// Otherwise another target has the address, and speaks of itself.
+			x.observeNotices(resp.Header)
+		}
 		refusal := x.targetRefusal(resp)
 		if refusal == nil {
 			return resp, nil
--- a/internal/retry/bucket_test.go
+++ b/internal/retry/bucket_test.go
@@ -4,10 +4,11 @@
 	"math/rand/v2"
 	"testing"
 	"time"
-	"unsafe"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/guavaford/guavaford/internal/clock/clocktest"
 )
 
 // noLuck makes a Bucket that holds less than a token grant nothing.
@@ -94,21 +95,11 @@
 	require.False(t, b.Take(now))
 }
 
-// setClock returns a reading with the time of day moved by step and the same monotonic reading, as time.Now returns it after the
-// clock of the host was set.
-func setClock(now time.Time, step time.Duration) time.Time {
-	moved := now.Add(step)
-	// The second word of a time.Time with a monotonic reading holds that reading.
-	(*[2]int64)(unsafe.Pointer(&moved))[1] = (*[2]int64)(unsafe.Pointer(&now))[1]
-	return moved
-}
-
 // TestBucketIgnoresSetClock guards against more retries than allowed when the clock of the host is set: time earns what has passed,
 // whatever the time of day.
 func TestBucketIgnoresSetClock(t *testing.T) {
 	const length = 10 * time.Second
 	start := time.Now()
-	require.Equal(t, 5*time.Second, setClock(start, time.Hour).Add(5*time.Second).Sub(start), "the step changes the time of day only")
 	for _, step := range []time.Duration{2400 * time.Millisecond, -2400 * time.Millisecond, time.Hour, -time.Hour} {
 		b := NewBucket(0.2, noLuck)
 		b.SetShare(start, 10, 0.5)
@@ -119,7 +110,7 @@
 		for at := time.Duration(0); at < length; at += 100 * time.Millisecond {
 			now := start.Add(at)
 			if at > 4*time.Second {
-				now = setClock(now, step)
+				now = clocktest.Set(now, step)
 			}
 			for b.Take(now) {
 				granted++
