explain: show what targets say of themselves around a request

Operators asked why a request was refused did not see that a target had named a limit: the explanation left those lines out. Cause: they are new and were not in its list.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -37,6 +37,16 @@
 	require.Empty(t, lines)
 }
 
+// TestNoticesOfTargetsExplainARequest guards against a request that was refused since a target limits its rate or leaves, and whose
+// explanation does not say so.
+func TestNoticesOfTargetsExplainARequest(t *testing.T) {
+	gate := text("gate", line(9, `msg="target limits its rate" target=t request=r-0 per_second=38.4 was=0`)+line(10, `msg="target says that it leaves" target=t request=r-0`))
+	entry := text("entry", line(11, "msg=refused request=r-1 code=queue-full"))
+	lines, err := FindRequest("r-1", []Source{entry, gate})
+	require.NoError(t, err)
+	require.Len(t, lines, 3)
+}
+
 // TestLongLinesAreCut guards against a line longer than the limit that hides itself or the lines after it.
 func TestLongLinesAreCut(t *testing.T) {
 	s := text("x", line(1, "msg=refused request=r-1 detail="+strings.Repeat("x", 3*maxLineBytes))+line(2, "msg=refused request=r-1"))
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,9 @@
 // is kept, and can be fetched over another connection (see calltable). It ends early only
 // when its caller cancels it.
 //
+// A target may say in its responses how many requests per second it accepts, and that it leaves.
+// The gate keeps to such notices for the rest of that run of the target.
+//
 // # Data flow
 //
 //	CallHeader -> target known? -> key still valid? -> admission (limit, queue)
