--- a/internal/route/notices.go
+++ b/internal/route/notices.go
@@ -67,3 +67,12 @@
 		}
 	}
 }
+
+// observeNotices takes over what a target says of itself. A target that leaves gets no further call in this run.
+func (p *Picker) observeNotices(now int64, t *registry.Target, leaving bool, rateLimit float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.notices.update(now, t, leaving, rateLimit) {
+		p.update(now, p.targets)
+	}
+}
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -176,15 +176,6 @@
 	p.table.Store(next)
 }
 
-// observeNotices takes over what a target says of itself. A target that leaves gets no further call in this run.
-func (p *Picker) observeNotices(now int64, t *registry.Target, leaving bool, rateLimit float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.notices.update(now, t, leaving, rateLimit) {
-		p.update(now, p.targets)
-	}
-}
-
 // slowStartFrom returns when the slow start of a target that is new to this picker began. Targets
 // of the first update ran before this node knew the service, unless their state is cold.
 func (p *Picker) slowStartFrom(now int64, t *registry.Target) int64 {
