review: case 3, hundreds of changes of a large desired state end all core processes

Cause: each group keeps its last 1,024 log entries in memory whatever their size, and an entry holds the whole desired state. Change: a script with its claim.

--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -9,9 +10,9 @@
 	// bigRoutes is the number of routes by which the desired state grows.
 	bigRoutes = 1400
 	// memoryChanges is the number of changes of one route that follow.
-	memoryChanges = 900
-	memoryLimit   = 105 * time.Second
-	// fatalEnds is how often the process of a machine must end for the rule.
+	memoryChanges = 1000
+	memoryLimit   = 110 * time.Second
+	// fatalEnds is how often processes must end on half of the core for the rule.
 	fatalEnds = 3
 )
 
@@ -35,22 +36,18 @@
 	if !eventually(30*time.Second, func() bool { return o.change([]string{main(0)}, services, 5*time.Second) }) {
 		return notRun
 	}
-	ends := make([]int, len(f.core))
-	stop := make(chan struct{})
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		watchMemory(f, ends, stop)
-	}()
+	w := &memoryWatch{fleet: f, ends: make([]int, len(f.core)), stop: make(chan struct{})}
+	var watching sync.WaitGroup
+	watching.Go(w.run)
 	rows := []string{}
 	if env.trouble {
 		for i := range bigRoutes {
-			rows = append(rows, route(fmt.Sprintf("r-accommodation-booking-%04d", i), fmt.Sprintf("/accommodation/bookings/court-%04d/", i), "idempotent", "6000ms", "huvo11a", false))
+			rows = append(rows, bigRoute(i))
 		}
 	}
 	began := time.Now()
 	acknowledged := 0
-	for n := 1; n <= memoryChanges && time.Since(began) < memoryLimit; n++ {
+	for n := 1; n <= memoryChanges && time.Since(began) < memoryLimit && !w.fatal(); n++ {
 		if o.change(append([]string{main(n)}, rows...), services, 10*time.Second) {
 			acknowledged++
 		}
@@ -59,16 +56,15 @@
 		}
 	}
 	env.record.note("%d changes acknowledged in %v", acknowledged, time.Since(began).Round(time.Second))
-	close(stop)
-	<-stopped
-	machines := 0
-	for i, n := range ends {
-		env.record.note("%s: ended %d times with its memory over %d MB", f.core[i].name, n, coreMemoryMB)
-		if n >= fatalEnds {
-			machines++
-		}
+	close(w.stop)
+	watching.Wait()
+	for i, h := range f.core {
+		env.record.note("%s: ended %d times with its memory over %d MB", h.name, w.ends[i], coreMemoryMB)
+	}
+	if acknowledged == 0 {
+		return notRun
 	}
-	if 2*machines >= len(f.core) {
+	if w.fatal() {
 		return broken
 	}
 	return held
@@ -83,11 +79,34 @@
 	return all
 }
 
-// watchMemory kills each core process whose memory is over the limit and starts it again after a short delay, as the platform does.
-func watchMemory(f *fleet, ends []int, stop chan struct{}) {
+// memoryWatch kills each core process whose memory is over the limit and starts it again after a short delay, as the platform does.
+type memoryWatch struct {
+	fleet *fleet
+	stop  chan struct{}
+
+	mu   sync.Mutex
+	ends []int
+}
+
+// fatal reports whether processes have ended by themselves on half of the core or more, and at least fatalEnds times.
+func (w *memoryWatch) fatal() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	machines, all := 0, 0
+	for _, n := range w.ends {
+		all += n
+		if n > 0 {
+			machines++
+		}
+	}
+	return 2*machines >= len(w.ends) && all >= fatalEnds
+}
+
+func (w *memoryWatch) run() {
+	f := w.fleet
 	for {
 		select {
-		case <-stop:
+		case <-w.stop:
 			return
 		case <-time.After(50 * time.Millisecond):
 		}
@@ -97,16 +116,22 @@
 			if ok && mb <= coreMemoryMB {
 				continue
 			}
-			ends[i]++
-			f.record.note("%s: memory %d MB is over %d MB, killed (%d)", h.name, mb, coreMemoryMB, ends[i])
+			f.record.note("%s: memory %d MB, over %d MB, killed", h.name, mb, coreMemoryMB)
 			h.kill()
+			w.mu.Lock()
+			w.ends[i]++
+			w.mu.Unlock()
 			f.bootstrap = false
-			time.AfterFunc(300*time.Millisecond, func() {
-				if err := h.start(); err != nil {
-					f.record.note("%s: start: %v", h.name, err)
-				}
-			})
-			time.Sleep(350 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
+			if err := h.start(); err != nil {
+				f.record.note("%s: start: %v", h.name, err)
+			}
 		}
 	}
 }
+
+// bigRoute is one of the routes by which the desired state grows. Each has a host of its own.
+func bigRoute(i int) string {
+	return fmt.Sprintf(`["r-accommodation-booking-court-%04d","accommodation-booking.court-%04d.semenanjung.akses-mahkamah.example",`+
+		`"/accommodation/bookings/court-%04d/interpreters/","idempotent","6000ms","1500ms",2,null,2,false,"huvo11a"]`, i, i, i)
+}
