--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 	"memory":  runMemory,
 	"answers": runAnswers,
 	"report":  runReport,
+	"late":    runLate,
 }
 
 // environment is what a case runs with.
