review: case 3, a request whose head arrives in two parts is not read before the header timeout

Cause: awaitHeader looks for the end of the head in the bytes that it asked for, and not in all that have arrived.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 	"answers": runAnswers,
 	"report":  runReport,
 	"late":    runLate,
+	"head":    runHead,
 }
 
 // environment is what a case runs with.
