registry, platform, operator: refuse ids and documents that are not UTF-8

An operator's document with such bytes in a key was accepted, and another key than the one sent was in force.

Cause: checkName accepted any byte above a space; JSON decoders replace bytes that are no text without an error.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
+	"unicode/utf8"
 
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/outcome"
@@ -63,12 +66,22 @@
 	RenewWithinMs int64 `json:"renew_within_ms"`
 }
 
+// errNotUTF8 is the error of an announcement with bytes that can't be read as text.
+var errNotUTF8 = errors.New("not UTF-8")
+
 // announce handles PUT /targets/{name}: it registers a target or renews its registration.
 func (t *Targets) announce(w http.ResponseWriter, r *http.Request) {
 	var a announcement
-	decoder := json.NewDecoder(io.LimitReader(r.Body, maxAnnouncementBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&a); err != nil {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxAnnouncementBytes))
+	if err == nil && !utf8.Valid(data) {
+		err = errNotUTF8
+	}
+	if err == nil {
+		decoder := json.NewDecoder(bytes.NewReader(data))
+		decoder.DisallowUnknownFields()
+		err = decoder.Decode(&a)
+	}
+	if err != nil {
 		t.entry.refuse(w, outcome.NotRun(outcome.BadRequest, 0, "announcement: %v", err), "")
 		return
 	}
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
@@ -235,13 +237,18 @@
 // readChange decodes a change and validates all that does not depend on the stored configuration.
 func readChange(body io.Reader) (*apiv1.Change, *Problem) {
 	var change Change
-	decoder := json.NewDecoder(body)
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&change)
+	data, err := io.ReadAll(body)
+	if err == nil {
+		decoder := json.NewDecoder(bytes.NewReader(data))
+		decoder.DisallowUnknownFields()
+		err = decoder.Decode(&change)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, newProblem(CodeBodyTooLarge, "a change may have at most %d bytes", tooLarge.Limit)
+	case !utf8.Valid(data):
+		return nil, newProblem(CodeRequestInvalid, "the body is not UTF-8")
 	case err != nil:
 		return nil, newProblem(CodeRequestInvalid, "the body is not a change: %v", err)
 	case !changeID.MatchString(change.ID):
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -85,10 +85,11 @@
 		`{`:                               CodeRequestInvalid,
 		`{"id":"a b","anyRevision":true}`: CodeRequestInvalid,
 		`{"id":"a"}`:                      CodeRequestInvalid,
-		`{"id":"a","anyRevision":true,"surprise":1}`:                                                   CodeRequestInvalid,
-		`{"id":"a","anyRevision":true,"expectedRevision":0}`:                                           CodeRequestInvalid,
-		`{"id":"` + strings.Repeat("a", MaxBodyBytes) + `"}`:                                           CodeBodyTooLarge,
-		`{"id":"a","anyRevision":true,"upserts":[{"kind":"Class","name":"c","spec":{"priority":99}}]}`: CodeConfigurationInvalid,
+		"{\"id\":\"a\",\"anyRevision\":true,\"upserts\":[{\"kind\":\"Organisation\",\"name\":\"\xff\",\"spec\":{}}]}": CodeRequestInvalid,
+		`{"id":"a","anyRevision":true,"surprise":1}`:                                                                  CodeRequestInvalid,
+		`{"id":"a","anyRevision":true,"expectedRevision":0}`:                                                          CodeRequestInvalid,
+		`{"id":"` + strings.Repeat("a", MaxBodyBytes) + `"}`:                                                          CodeBodyTooLarge,
+		`{"id":"a","anyRevision":true,"upserts":[{"kind":"Class","name":"c","spec":{"priority":99}}]}`:                CodeConfigurationInvalid,
 	} {
 		control := &scriptedControl{}
 		p := problemOf(t, send(control, "Bearer "+testToken, http.MethodPost, pathChanges, body))
--- a/internal/registry/check.go
+++ b/internal/registry/check.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strings"
+	"unicode/utf8"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/outcome"
@@ -25,8 +26,8 @@
 	if a.State == apiv1.TargetState_TARGET_STATE_GONE {
 		return invalidAnnouncement("state GONE is not allowed in an announcement")
 	}
-	if len(a.Instance) > maxNameBytes {
-		return invalidAnnouncement("instance is longer than %d bytes", maxNameBytes)
+	if len(a.Instance) > maxNameBytes || !utf8.ValidString(a.Instance) {
+		return invalidAnnouncement("instance %q is not UTF-8 or longer than %d bytes", a.Instance, maxNameBytes)
 	}
 	if refusal := checkPath("health path", a.HealthPath); refusal != nil {
 		return refusal
@@ -37,10 +38,18 @@
 	return checkLabels(a.Labels)
 }
 
+// CheckTargetName returns a refusal if no target can have the name, and nil otherwise.
+func CheckTargetName(name string) *outcome.Refusal {
+	return checkName("name", name)
+}
+
 func checkName(field, value string) *outcome.Refusal {
 	if value == "" {
 		return invalidAnnouncement("%s is missing", field)
 	}
+	if !utf8.ValidString(value) {
+		return invalidAnnouncement("%s %q is not UTF-8", field, value)
+	}
 	if len(value) > maxNameBytes {
 		return invalidAnnouncement("%s is longer than %d bytes", field, maxNameBytes)
 	}
@@ -54,8 +63,8 @@
 	if value == "" {
 		return nil
 	}
-	if !strings.HasPrefix(value, "/") || len(value) > maxNameBytes {
-		return invalidAnnouncement("%s %q does not begin with a slash or is longer than %d bytes", field, value, maxNameBytes)
+	if !strings.HasPrefix(value, "/") || len(value) > maxNameBytes || !utf8.ValidString(value) {
+		return invalidAnnouncement("%s %q does not begin with a slash, is not UTF-8 or is longer than %d bytes", field, value, maxNameBytes)
 	}
 	return nil
 }
@@ -68,6 +77,9 @@
 		if key == "" || len(key) > maxNameBytes || len(value) > maxNameBytes {
 			return invalidAnnouncement("label %q is empty or longer than %d bytes", key, maxNameBytes)
 		}
+		if !utf8.ValidString(key) || !utf8.ValidString(value) {
+			return invalidAnnouncement("label %q=%q is not UTF-8", key, value)
+		}
 	}
 	return nil
 }
--- a/internal/registry/local_test.go
+++ b/internal/registry/local_test.go
@@ -77,6 +77,11 @@
 		"state GONE is not allowed":     func(a *Announcement) { a.State = apiv1.TargetState_TARGET_STATE_GONE },
 		`health path "x" does not`:      func(a *Announcement) { a.HealthPath = "x" },
 		"65 labels; at most 64":         func(a *Announcement) { a.Labels = manyLabels(65) },
+		`name "\xff\xfe" is not UTF-8`:  func(a *Announcement) { a.Name = "\xff\xfe" },
+		`service "\xe9" is not UTF-8`:   func(a *Announcement) { a.Service = "\xe9" },
+		`instance "\xe9" is not UTF-8`:  func(a *Announcement) { a.Instance = "\xe9" },
+		`load path "/\xe9" does not`:    func(a *Announcement) { a.LoadPath = "/\xe9" },
+		`label "a"="\xe9" is not UTF-8`: func(a *Announcement) { a.Labels = labels.Set{"a": "\xe9"} },
 	}
 	for want, invalidate := range cases {
 		l := newHost("h", 10).local
