http1: read a request as soon as all of its head has arrived

Cause: awaitHeader looked for the end of the head in what Peek returned, which is as long as was asked for although the read had buffered more, and then asked for one byte more than was buffered. With the end of the head in the buffer that byte never comes.

Change: look at all buffered bytes before asking for one more.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -210,23 +210,24 @@
 // awaitHeader waits until the whole header is buffered. It returns an error if the header is longer than limit or
 // leaves open where the request ends.
 func (c *conn) awaitHeader(limit int) error {
-	for want := 1; ; {
-		data, err := c.reader.Peek(max(want, c.reader.Buffered()))
+	for {
+		data, _ := c.reader.Peek(c.reader.Buffered())
 		if end := headerEnd(data); end > 0 {
 			if end > limit {
 				return errHeaderTooLong
 			}
 			return checkFraming(data[:end])
 		}
-		switch {
-		case len(data) > limit:
+		if len(data) > limit {
 			return errHeaderTooLong
-		case errors.Is(err, bufio.ErrBufferFull):
+		}
+		if len(data) == c.reader.Size() {
 			c.growBuffer(limit)
-		case err != nil:
+		}
+		// Peek returns no more than it is asked for, but one read may have buffered the rest of the header.
+		if _, err := c.reader.Peek(len(data) + 1); err != nil {
 			return err
 		}
-		want = c.reader.Buffered() + 1
 	}
 }
 
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -284,3 +284,38 @@
 		t.Fatal("the connection to the target was not closed")
 	}
 }
+
+// TestResponseInSeveralPartsIsReadWithItsLastByte guards against a response that is complete but waits for more bytes, since its head or
+// framing came in more than one read.
+func TestResponseInSeveralPartsIsReadWithItsLastByte(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + idField + ": a\r\n"
+	for name, parts := range map[string][]string{
+		"status line":    {head[:9], head[9:] + "Content-Length: 3\r\n\r\nyes"},
+		"field":          {head[:len(head)-5], head[len(head)-5:] + "Content-Length: 3\r\n\r\nyes"},
+		"empty line":     {head + "Content-Length: 3\r\n", "\r\nyes"},
+		"long head":      {head + "X-Long: " + strings.Repeat("x", 15000) + "\r\nContent-Length: 3\r\n\r\nyes"},
+		"interim":        {"HTTP/1.1 103 Early Hints\r\n\r", "\n" + head, "Content-Length: 3\r\n\r\nyes"},
+		"chunk size":     {head + "Transfer-Encoding: chunked\r\n\r\n3", "\r\nyes\r\n0\r\n\r\n"},
+		"end of chunk":   {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nyes", "\r\n0\r\n\r", "\n"},
+		"trailer":        {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\nX-S", "um: 1\r\nX-More: 2\r\n\r\n"},
+		"end of trailer": {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\nX-Sum: 1\r\n", "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan time.Time, 1)
+			s := startTarget(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				for i, part := range parts {
+					if i > 0 {
+						time.Sleep(20 * time.Millisecond)
+					}
+					_, _ = io.WriteString(conn, part)
+				}
+				sent <- time.Now()
+				return true
+			})
+			body, err := exchangeWith(t, newTransport(), s, "a", nil)
+			require.NoError(t, err)
+			require.Equal(t, "yes", body)
+			require.Less(t, time.Since(<-sent), 500*time.Millisecond)
+		})
+	}
+}
