registry, node, platform: a confirmed departure outlives the process that confirmed it

What callers saw: a target left by DELETE (or reported draining), confirmed with 200.

Cause: the confirmation was in the memory of one process. The control replicas held a tombstone, but not of which run and whether the target had left or was only not renewed, and nobody asked them; the later record replaced it.

Change: a departure is confirmed once a majority of the voting control replicas holds it, with the run that it ends (503 otherwise, within 0.6 s). A process that starts holds reports back, and announces no set, until a majority has answered what it holds of the host's targets.

--- a/internal/control/network.go
+++ b/internal/control/network.go
@@ -187,6 +187,10 @@
 		func(ctx context.Context, _ peer.Identity, m *apiv1.ProposeRequest) (*apiv1.ProposeResponse, error) {
 			return r.Propose(ctx, m)
 		})
+	peer.HandleUnary(s, apiv1.Method_METHOD_DEPARTURES, newOf[apiv1.DepartureRequest],
+		func(_ context.Context, _ peer.Identity, m *apiv1.DepartureRequest) (*apiv1.DepartureResponse, error) {
+			return r.Departures(m)
+		})
 	peer.HandleUnary(s, apiv1.Method_METHOD_SYNC, newOf[apiv1.SyncRequest],
 		func(ctx context.Context, _ peer.Identity, m *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
 			resp, err := r.Sync(ctx, m)
--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -194,7 +194,9 @@
 		req.WaitNs = 0
 		return req
 	}
-	l.o.Local.FillRequest(req, l.announced, l.wantAnnounced)
+	if l.o.Local.Restored() {
+		l.o.Local.FillRequest(req, l.announced, l.wantAnnounced)
+	}
 	return req
 }
 
--- /dev/null
+++ b/internal/node/departures.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/peer"
+)
+
+const (
+	// departureTimeout bounds one round of calls to the control replicas. Targets wait a second for a confirmation.
+	departureTimeout = 600 * time.Millisecond
+	// restoreRetryDelay is the time between two rounds of a process that has just started.
+	restoreRetryDelay = 100 * time.Millisecond
+)
+
+// ErrNotStored means that too few control replicas have stored a departure, so that a later process of this node might not know it.
+var ErrNotStored = errors.New("too few control replicas have stored the departure")
+
+// departures stores which targets of this host leave at control replicas, and restores it from there. A majority stores each departure, and a
+// process that has just started asks a majority, so that one replica at least knows.
+type departures struct {
+	process *Process
+
+	mu sync.Mutex
+	// stored holds the version of each record that a majority of the replicas has stored.
+	stored map[string]uint64
+}
+
+func newDepartures(p *Process) *departures {
+	return &departures{process: p, stored: make(map[string]uint64)}
+}
+
+// ConfirmDepartures returns once a majority of the control replicas has stored all departures of targets of this host.
+func (p *Process) ConfirmDepartures(ctx context.Context) error {
+	return p.departures.confirm(ctx)
+}
+
+// confirm stores the departures that are not stored yet.
+func (d *departures) confirm(ctx context.Context) error {
+	records := d.notStored(d.process.local.Departures())
+	if len(records) == 0 {
+		return nil
+	}
+	_, answered, voters := d.call(ctx, records)
+	d.process.env.Log.Info("departures stored", "departures", len(records), "target", records[0].GetName(), "version", records[0].GetVersion(),
+		"replicas", answered, "voters", voters)
+	if !majority(answered, voters) {
+		return ErrNotStored
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range records {
+		d.stored[r.GetName()] = max(d.stored[r.GetName()], r.GetVersion())
+	}
+	return nil
+}
+
+// notStored returns the records that are not stored yet, and forgets those that are no departures any more.
+func (d *departures) notStored(all []*apiv1.TargetRecord) []*apiv1.TargetRecord {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	stored := make(map[string]uint64, len(all))
+	var missing []*apiv1.TargetRecord
+	for _, r := range all {
+		if version := d.stored[r.GetName()]; version >= r.GetVersion() {
+			stored[r.GetName()] = version
+		} else {
+			missing = append(missing, r)
+		}
+	}
+	d.stored = stored
+	return missing
+}
+
+// restore asks the control replicas what they hold of this node until a majority has answered.
+func (d *departures) restore(ctx context.Context) {
+	p := d.process
+	for !p.local.Restored() {
+		placement, changed := p.board.Placement.Watch()
+		if len(placement.GetReplicas()) == 0 {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+			continue
+		}
+		records, answered, voters := d.call(ctx, nil)
+		if majority(answered, voters) {
+			departed, results := p.local.Restore(p.env.Clock.Now(), records)
+			p.env.Log.Info("departures restored", "records", len(records), "departed", departed, "held", results, "replicas", answered, "voters", voters)
+			return
+		}
+		p.env.Log.Warn("departures not restored, reports are held back", "replicas", answered, "voters", voters)
+		if !clock.Sleep(ctx, restoreRetryDelay) {
+			return
+		}
+	}
+}
+
+func majority(n, of int) bool { return 2*n > of }
+
+// call sends departures to all voting replicas and returns the records of those that answer, until a majority has. The other calls go on, so
+// that more replicas know.
+func (d *departures) call(ctx context.Context, departed []*apiv1.TargetRecord) (records []*apiv1.TargetRecord, answered, voters int) {
+	p := d.process
+	request := &apiv1.DepartureRequest{Node: p.env.identity.Node, Departed: departed}
+	replicas := p.board.Placement.Load().GetReplicas()
+	responses := make(chan *apiv1.DepartureResponse, len(replicas))
+	for _, r := range replicas {
+		if r.GetLearner() {
+			continue
+		}
+		voters++
+		p.running.Go(func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), departureTimeout)
+			defer cancel()
+			response, err := d.callReplica(ctx, r, request)
+			if err != nil {
+				p.env.Log.Debug("departures not exchanged", "replica", r.GetNode(), "err", err)
+				response = nil
+			}
+			responses <- response
+		})
+	}
+	for range voters {
+		response := <-responses
+		if response == nil {
+			continue
+		}
+		answered++
+		records = append(records, response.GetRecords()...)
+		if majority(answered, voters) {
+			break
+		}
+	}
+	return records, answered, voters
+}
+
+// callReplica calls one replica, which may be that of this process.
+func (d *departures) callReplica(ctx context.Context, r *apiv1.ReplicaInfo, request *apiv1.DepartureRequest) (*apiv1.DepartureResponse, error) {
+	p := d.process
+	if p.replica != nil && r.GetNode() == p.env.identity.Node {
+		return p.replica.Departures(request)
+	}
+	response := &apiv1.DepartureResponse{}
+	return response, peer.Unary(ctx, p.pool, r.GetAddress(), apiv1.Method_METHOD_DEPARTURES, request, response)
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -129,7 +129,8 @@
 	targets   *http.Server
 	operators *http.Server
 	// direct is nil unless the settings name its address.
-	direct *http1.Server
+	direct     *http1.Server
+	departures *departures
 	// quarantine holds the requests that crash targets; quarantineExchange shares it with other nodes.
 	quarantine         *quarantine.Table
 	quarantineExchange *quarantineExchange
@@ -194,7 +195,10 @@
 		DataCentre:  s.DataCentre,
 		Incarnation: p.env.identity.Incarnation,
 		TTL:         s.AnnouncementTTL,
+		// Only with a direct entry do targets number their reports; others announce themselves.
+		AwaitRestore: s.DirectAddress != "",
 	})
+	p.departures = newDepartures(p)
 	p.directory = registry.NewDirectory()
 	if p.board, err = board.New(p.directory.Section()); err != nil {
 		return nil, err
@@ -357,6 +361,7 @@
 	p.goRun("dispatch", func() error { p.dispatcher.Run(ctx); return nil })
 	p.goRun("rate", func() error { p.rates.Run(ctx); return nil })
 	p.goRun("targets", func() error { p.refreshTargets(ctx); return nil })
+	p.goRun("departures", func() error { p.departures.restore(ctx); return nil })
 	if p.quarantineExchange != nil {
 		p.goRun("quarantine exchange", func() error { p.quarantineExchange.run(ctx); return nil })
 	}
--- a/internal/registry/local.go
+++ b/internal/registry/local.go
@@ -41,6 +41,8 @@
 	State apiv1.TargetState
 	// Instance distinguishes a process of the target from earlier and later ones; it may be empty.
 	Instance string
+	// departed is set if the target reports that it leaves; state LEAVING may have another cause.
+	departed bool
 	// HealthPath and LoadPath are optional HTTP paths at Address that report health and load.
 	HealthPath string
 	LoadPath   string
@@ -54,6 +56,8 @@
 	Incarnation uint64
 	// TTL is how long an announcement is valid without renewal; 0 means DefaultTTL.
 	TTL time.Duration
+	// AwaitRestore holds reports back until Restore has told what an earlier process of the node knew.
+	AwaitRestore bool
 }
 
 // LocalTarget is a target on this host, with the details that only the node on this host needs.
@@ -86,6 +90,9 @@
 	tombstones map[string]*localTombstone
 	// lastReports holds the last accepted report of each target that numbers its reports.
 	lastReports map[string]lastReport
+	// restored is set once reports need not be held back any more; held holds those that are.
+	restored bool
+	held     map[string]heldReport
 }
 
 type localEntry struct {
@@ -111,6 +118,8 @@
 
 		tombstones:  make(map[string]*localTombstone),
 		lastReports: make(map[string]lastReport),
+		restored:    !o.AwaitRestore,
+		held:        make(map[string]heldReport),
 	}
 }
 
@@ -178,6 +187,7 @@
 			Incarnation: l.options.Incarnation,
 			Version:     l.version,
 			Started:     started,
+			Departed:    a.departed,
 		},
 	}
 }
@@ -193,12 +203,16 @@
 
 // remove replaces a target with a tombstone at the current version.
 func (l *Local) remove(entry *localEntry) {
-	t := entry.target
-	delete(l.entries, t.Name)
+	delete(l.entries, entry.target.Name)
+	l.addTombstone(tombstone(entry.target.Record(), entry.target.Incarnation, l.version))
+}
+
+// addTombstone adds the tombstone of a target.
+func (l *Local) addTombstone(record *apiv1.TargetRecord) {
 	if len(l.tombstones) >= maxLocalTombstones {
 		l.dropOldestTombstone()
 	}
-	l.tombstones[t.Name] = &localTombstone{record: tombstone(t.Record(), t.Incarnation, l.version)}
+	l.tombstones[record.Name] = &localTombstone{record: record}
 }
 
 func (l *Local) dropOldestTombstone() {
@@ -220,6 +234,7 @@
 	return sameProcess(a, b) &&
 		a.Slots == b.Slots &&
 		a.State == b.State &&
+		a.departed == b.departed &&
 		a.HealthPath == b.HealthPath &&
 		a.LoadPath == b.LoadPath &&
 		maps.Equal(a.Labels, b.Labels)
--- a/internal/registry/relay.go
+++ b/internal/registry/relay.go
@@ -256,15 +256,18 @@
 	n.announcedVersion = req.AnnouncedVersion
 }
 
-// tombstone returns the record that marks a target as removed at a version.
+// tombstone returns the record that marks a target as removed at a version. It keeps the run of the target, and whether that run had
+// reported that it leaves.
 func tombstone(m *apiv1.TargetRecord, incarnation, version uint64) *apiv1.TargetRecord {
 	return &apiv1.TargetRecord{
-		Name:        m.Name,
-		Service:     m.Service,
-		Node:        m.Node,
-		State:       apiv1.TargetState_TARGET_STATE_GONE,
-		Incarnation: incarnation,
-		Version:     version,
+		Name:          m.Name,
+		Service:       m.Service,
+		Node:          m.Node,
+		State:         apiv1.TargetState_TARGET_STATE_GONE,
+		Incarnation:   incarnation,
+		Version:       version,
+		StartedUnixNs: m.StartedUnixNs,
+		Departed:      m.Departed,
 	}
 }
 
--- a/internal/registry/report.go
+++ b/internal/registry/report.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
@@ -28,6 +29,8 @@
 	ReportOutdated ReportResult = "outdated"
 	// ReportFromEndedProcess means that the report comes from a process that has left or that a later one has replaced.
 	ReportFromEndedProcess ReportResult = "dead"
+	// ReportHeld means that the report is held back until it is known what an earlier process of the node knew.
+	ReportHeld ReportResult = "held"
 )
 
 // lastReport identifies the last accepted report of a target.
@@ -35,8 +38,10 @@
 	start    time.Time
 	sequence uint64
 	left     bool
-	// leaving is set once the process has said otherwise than by a report that it leaves.
+	// leaving is set if the process leaves whatever its further reports say: it has said so otherwise than by a report, or, with departed set,
+	// by a report to an earlier process of the node.
 	leaving   bool
+	departed  bool
 	updatedAt time.Time
 }
 
@@ -71,6 +76,14 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.mustHold(now, r) {
+		return ReportHeld, nil
+	}
+	return l.applyReport(now, r)
+}
+
+// applyReport applies a valid report. The caller holds the lock.
+func (l *Local) applyReport(now time.Time, r Report) (ReportResult, *outcome.Refusal) {
 	last, known := l.lastReports[r.Name]
 	switch {
 	case known && r.Start.Before(last.start):
@@ -83,13 +96,14 @@
 		return ReportFromEndedProcess, nil
 	}
 	leaving := known && r.Start.Equal(last.start) && last.leaving
+	r.departed = r.Leaving() || (leaving && last.departed)
 	if leaving {
 		r.State = apiv1.TargetState_TARGET_STATE_LEAVING
 	}
 	if _, refusal := l.announce(now, r.Announcement, r.Start); refusal != nil {
 		return "", refusal
 	}
-	l.lastReports[r.Name] = lastReport{start: r.Start, sequence: r.Sequence, leaving: leaving, updatedAt: now}
+	l.lastReports[r.Name] = lastReport{start: r.Start, sequence: r.Sequence, leaving: leaving, departed: leaving && last.departed, updatedAt: now}
 	return ReportAccepted, nil
 }
 
@@ -127,22 +141,29 @@
 func (l *Local) RemoveReported(now time.Time, name string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if last, known := l.lastReports[name]; known {
-		last.left, last.updatedAt = true, now
-		l.lastReports[name] = last
+	start := l.startOf(now, name)
+	last, known := l.lastReports[name]
+	if known || len(l.lastReports) < maxLastReports {
+		l.lastReports[name] = lastReport{start: start, sequence: last.sequence, left: true, updatedAt: now}
 	}
+	record := &apiv1.TargetRecord{Name: name, Node: l.options.Node, StartedUnixNs: start.UnixNano()}
 	entry := l.entries[name]
-	if entry == nil {
-		return false
+	if entry != nil {
+		record = entry.target.Record()
 	}
+	delete(l.entries, name)
+	delete(l.held, name)
 	l.version++
-	l.remove(entry)
+	departed := tombstone(record, l.options.Incarnation, l.version)
+	departed.Departed = true
+	l.addTombstone(departed)
 	l.publish()
-	return true
+	return entry != nil
 }
 
 // pruneReports drops the last reports of targets that were removed long ago. The caller holds the lock.
 func (l *Local) pruneReports(now time.Time) {
+	maps.DeleteFunc(l.held, func(_ string, h heldReport) bool { return now.Sub(h.at) > l.options.TTL })
 	for name, last := range l.lastReports {
 		if l.entries[name] == nil && now.Sub(last.updatedAt) > reportRetention {
 			delete(l.lastReports, name)
--- a/internal/registry/target.go
+++ b/internal/registry/target.go
@@ -30,6 +30,8 @@
 	Version     uint64
 	// Started is when the target started, by the clock of its host.
 	Started time.Time
+	// Departed is set if the target has reported that it leaves.
+	Departed bool
 }
 
 // ID returns the name of the target, unique within the fleet.
@@ -56,6 +58,7 @@
 		Incarnation:   t.Incarnation,
 		Version:       t.Version,
 		StartedUnixNs: t.Started.UnixNano(),
+		Departed:      t.Departed,
 	}
 }
 
@@ -74,6 +77,7 @@
 		Incarnation: r.Incarnation,
 		Version:     r.Version,
 		Started:     time.Unix(0, r.StartedUnixNs),
+		Departed:    r.Departed,
 	}
 }
 
