gateway: an answer that is streamed keeps its request until its last byte

Cause: CombinedHandler.Serve cancelled the context of its request when it returned, and http1 reads a body that is not buffered after that.

Change: the context ends when the stream is closed, or at once without one.

--- a/internal/gateway/direct.go
+++ b/internal/gateway/direct.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -87,13 +88,30 @@
 		return a.refuse(refusal)
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.origin.Deadline)
-	defer cancel()
 	result := a.run(ctx)
 	response := a.respond(ctx, result)
+	if response.Stream == nil {
+		cancel()
+	} else {
+		response.Stream = &stream{ReadCloser: response.Stream, cancel: cancel}
+	}
 	d.o.Metrics.Latency.Record(telemetry.Series{Organisation: a.origin.Organisation, Class: a.origin.Class}, d.o.Clock.Now().Sub(a.start))
 	return response
 }
 
+// stream is the body of a response that is read after Serve has returned. The context of its request ends when it is closed.
+type stream struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body and ends the context of the request.
+func (s *stream) Close() error {
+	err := s.ReadCloser.Close()
+	s.cancel()
+	return err
+}
+
 // Times for requests that arrive before a newly started node has received its first configuration.
 const (
 	// unconfiguredRetryAfter is the time after which the node may have a configuration.
