http1: bound the streamed responses that a process holds

What callers could see: with answers of any size streamed, each one whose caller reads nothing, or slower than it arrives, holds up to the window of its stream (256 KiB) at the entry. Nothing bounded their number, so enough of them would end the process with all requests.

Cause: memory was bounded for each connection, not for the process.

The window of streams between nodes is set, so that the bound follows from it.

That the process ends without the bound was not shown.

--- a/internal/gateway/direct.go
+++ b/internal/gateway/direct.go
@@ -94,6 +94,9 @@
 		cancel()
 	} else {
 		response.Stream = &stream{ReadCloser: response.Stream, cancel: cancel}
+		response.Replace = func() *http1.Response {
+			return a.refuse(&outcome.Refusal{Code: outcome.TargetFailed, Ran: outcome.RanYes, Detail: "too many answers are streamed at this node"})
+		}
 	}
 	d.o.Metrics.Latency.Record(telemetry.Series{Organisation: a.origin.Organisation, Class: a.origin.Class}, d.o.Clock.Now().Sub(a.start))
 	return response
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -51,6 +51,16 @@
 	Length int64
 	// Close ends the connection after the response.
 	Close bool
+	// Replace, if set, returns the response to send if Stream can't be sent because of Limits.MaxStreams. It says that the request ran.
+	Replace func() *Response
+}
+
+// replacement returns the response in place of one whose Stream can't be sent.
+func (r *Response) replacement() *Response {
+	if r.Replace == nil {
+		return &Response{Status: http.StatusBadGateway}
+	}
+	return r.Replace()
 }
 
 // Add adds a header field.
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -23,6 +23,9 @@
 	// MaxConnections is the number of open connections above which a connection ends with the next response that has no
 	// further request behind it, so that file descriptors stay free for new callers; 0 sets no limit.
 	MaxConnections int
+	// MaxStreams is the number of streamed responses above which those are ended whose callers read nothing, and half of the largest
+	// number; 0 sets no limit.
+	MaxStreams int
 }
 
 // Options configure a Server.
@@ -32,6 +35,9 @@
 	Limits func() Limits
 	// OnAcceptError, if set, is called when a connection could not be accepted. It must not block.
 	OnAcceptError func(error)
+	// OnStreamEnded, if set, is called when a streamed response was ended or replaced because of Limits.MaxStreams, with the number of streamed
+	// responses and for how long the caller of the ended one had read nothing; 0 for one that was replaced. It must not block.
+	OnStreamEnded func(count int, blocked time.Duration)
 }
 
 // Handler answers requests. The context of a request ends when its caller closes the connection, or with ErrGivenUp when the server stops.
@@ -44,6 +50,7 @@
 	handler      Handler
 	limits       func() Limits
 	acceptFailed func(error)
+	streamEnded  func(int, time.Duration)
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
@@ -56,6 +63,7 @@
 	draining atomic.Bool
 	requests atomic.Int64
 	open     atomic.Int64
+	streams  streams
 }
 
 // NewServer returns a server.
@@ -63,8 +71,12 @@
 	if o.OnAcceptError == nil {
 		o.OnAcceptError = func(error) {}
 	}
+	if o.OnStreamEnded == nil {
+		o.OnStreamEnded = func(int, time.Duration) {}
+	}
 	return &Server{
 		handler: o.Handler, limits: o.Limits, acceptFailed: o.OnAcceptError,
+		streamEnded: o.OnStreamEnded, streams: streams{active: map[*exchange]struct{}{}},
 		conns: map[*conn]struct{}{}, listeners: map[net.Listener]struct{}{}, pool: workers.New(),
 	}
 }
--- a/internal/http1/turn.go
+++ b/internal/http1/turn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/guavaford/guavaford/internal/buffer"
@@ -24,6 +25,8 @@
 	bodyRead chan struct{}
 	once     sync.Once
 	unread   bool
+	// blockedSince is when the write of a part of a streamed response began, in Unix nanoseconds; 0 between writes.
+	blockedSince atomic.Int64
 }
 
 // run calls the handler, waits until the earlier requests are answered, and writes the response.
@@ -49,6 +52,13 @@
 	if closing {
 		x.conn.stopResponses()
 	}
+	if response.streamed() {
+		if x.beginStream() {
+			defer x.conn.server.streams.end(x)
+		} else {
+			response = response.replacement()
+		}
+	}
 	if err := x.write(response, closing); err != nil {
 		x.conn.abort()
 		return
@@ -97,7 +107,7 @@
 		if chunked {
 			b.WriteString("\r\n")
 		}
-		err := x.conn.write(b.Bytes())
+		err := x.writePart(b.Bytes())
 		b.Reset()
 		return err
 	})
--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -13,6 +13,7 @@
 	"github.com/guavaford/guavaford/internal/gateway"
 	"github.com/guavaford/guavaford/internal/headers"
 	"github.com/guavaford/guavaford/internal/http1"
+	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/route"
 	"github.com/guavaford/guavaford/internal/shed"
@@ -93,9 +94,20 @@
 	})
 	limits := func() http1.Limits {
 		l := p.board.Configuration.Load().Snapshot.CallerLimits
-		return http1.Limits{MaxHeader: l.MaxHeader, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxConnections: p.env.settings.MaxConnections}
+		return http1.Limits{MaxHeader: l.MaxHeader, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxConnections: p.env.settings.MaxConnections,
+			MaxStreams: int(streamMemoryShare * float64(p.env.settings.MemoryLimit) / peer.StreamWindow)}
+	}
+	p.direct = http1.NewServer(http1.Options{Handler: entry, Limits: limits, OnAcceptError: p.logAcceptFailed, OnStreamEnded: p.logStreamEnded})
+}
+
+// streamMemoryShare is the fraction of the memory limit that streamed responses may hold; twice as much while all callers read.
+const streamMemoryShare = 0.25
+
+// logStreamEnded logs that a response was ended whose caller did not read it, or that one was replaced since there are too many.
+func (p *Process) logStreamEnded(count int, blocked time.Duration) {
+	if leftOut, ok := p.logLimit.Allow(p.env.Clock.Now()); ok {
+		p.env.Log.Warn("too many streamed responses", "streamed", count, "blocked", blocked, "left_out", leftOut)
 	}
-	p.direct = http1.NewServer(http1.Options{Handler: entry, Limits: limits, OnAcceptError: p.logAcceptFailed})
 }
 
 // logAcceptFailed logs that a caller's connection could not be accepted yet: the process may be out of file
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -56,6 +56,8 @@
 	maxMessageBytes = 64 << 20
 	// inlineBodyBytes is the largest body that is sent in one write with its header.
 	inlineBodyBytes = 16 << 10
+	// StreamWindow is the largest number of bytes that a stream holds for a reader that does not read.
+	StreamWindow = 256 << 10
 	// readBufferBytes is the size of the read buffer of a stream.
 	readBufferBytes = 4 << 10
 
--- a/internal/peer/yamux.go
+++ b/internal/peer/yamux.go
@@ -66,6 +66,7 @@
 	c.AcceptBacklog = defaultMaxStreams
 	c.EnableKeepAlive = false
 	c.StreamOpenTimeout = 0
+	c.MaxStreamWindowSize = StreamWindow
 	c.ConnectionWriteTimeout = writeTimeout
 	c.LogOutput = io.Discard
 	return c
