peer: a read ends when its session shuts down

Cause: between the shutdown of a session and the close of a stream of it a read does not block, and has no exit but the close of the stream by another goroutine, which may not get to run on one processor where time stands still until the process waits.

Change: yamuxSession keeps its open streams. Before the connection under a session is closed, by us or by yamux, their reads get a deadline in the past; such a read returns io.EOF, as it did.

Evidence: TestReadEndsWhileItsSessionShutsDown keeps a session in that state; without the deadline the read goes on (failed after 2 s).

--- a/internal/peer/yamux.go
+++ b/internal/peer/yamux.go
@@ -83,12 +83,12 @@
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "authenticate")
 	}
-	session, err := yamux.Client(newBatchConn(conn), t.yamux)
+	session, err := newYamuxSession(yamux.Client, raw, conn, t.yamux)
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "start session")
 	}
-	return &yamuxSession{session: session, raw: raw}, nil
+	return session, nil
 }
 
 // Listen accepts sessions at address, an IP number and port.
@@ -111,38 +111,14 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := yamux.Server(newBatchConn(l.transport.server(raw)), l.transport.yamux)
+	session, err := newYamuxSession(yamux.Server, raw, l.transport.server(raw), l.transport.yamux)
 	if err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "start session")
 	}
-	return &yamuxSession{session: session, raw: raw}, nil
+	return session, nil
 }
 
 func (l *yamuxListener) Close() error { return l.listener.Close() }
 
 func (l *yamuxListener) Addr() string { return l.listener.Addr().String() }
-
-type yamuxSession struct {
-	session *yamux.Session
-	raw     net.Conn
-}
-
-func (s *yamuxSession) Open(ctx context.Context) (net.Conn, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
-	return s.session.OpenStream()
-}
-
-func (s *yamuxSession) Accept() (net.Conn, error) { return s.session.AcceptStream() }
-
-// Close closes the TCP connection first: an orderly shutdown of yamux and TLS writes to
-// the connection, which blocks while it is silent.
-func (s *yamuxSession) Close() error {
-	err := s.raw.Close()
-	_ = s.session.Close()
-	return err
-}
-
-func (s *yamuxSession) Done() <-chan struct{} { return s.session.CloseChan() }
