--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -123,7 +123,7 @@
 	})
 	require.NoError(c.t, err)
 	// Small thresholds, so that snapshots, their transfer and log rewrites occur.
-	replica.engine.thresholds = compactionThresholds{rewriteBytes: 64 << 10, snapshotBytes: 1 << 20, snapshotEntries: 100, keepEntries: 20}
+	replica.engine.thresholds = compactionThresholds{rewriteBytes: 64 << 10, snapshotBytes: 1 << 20, snapshotEntries: 100, keepEntries: 20, keepBytes: 1 << 20}
 	replica.engine.rewriteAt = replica.engine.thresholds.rewriteBytes
 	listener, err := transport.Listen(name)
 	require.NoError(c.t, err)
--- a/internal/control/maintain.go
+++ b/internal/control/maintain.go
@@ -21,6 +21,8 @@
 	// keepEntries is the number of entries before a snapshot that stay in memory, for replicas that
 	// lag slightly.
 	keepEntries uint64
+	// keepBytes limits the data of these entries. A replica that lags further gets the snapshot.
+	keepBytes int
 }
 
 // defaultThresholds are the thresholds outside tests.
@@ -29,6 +31,7 @@
 	snapshotBytes:   1 << 20,
 	snapshotEntries: 4096,
 	keepEntries:     1024,
+	keepBytes:       8 << 20,
 }
 
 // compact takes snapshots and rewrites the log file once their thresholds are reached.
@@ -101,7 +104,7 @@
 		return err
 	}
 	g.setSnapshot(s)
-	g.core.Compact(s.Index, e.thresholds.keepEntries)
+	g.core.Compact(s.Index, e.thresholds.keepEntries, e.thresholds.keepBytes)
 	e.metrics.snapshots.Add(1)
 	return nil
 }
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -127,7 +127,7 @@
 	require.NoError(sim.t, err)
 	h.replica = r
 	// Small thresholds, so that snapshots, their transfer and log rewrites occur all the time.
-	r.engine.thresholds = compactionThresholds{rewriteBytes: 4 << 10, snapshotBytes: 1 << 20, snapshotEntries: 7, keepEntries: 3}
+	r.engine.thresholds = compactionThresholds{rewriteBytes: 4 << 10, snapshotBytes: 1 << 20, snapshotEntries: 7, keepEntries: 3, keepBytes: 1 << 20}
 	r.engine.rewriteAt = r.engine.thresholds.rewriteBytes
 	r.engine.writeSnapshot = nil // snapshots are written synchronously
 	r.engine.beforeSync = func() { sim.sendOutbox(h) }
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -271,14 +271,14 @@
 	}
 }
 
-// Compact drops the log up to index, which a durable snapshot covers, except for the last keep
-// entries of that range.
-func (c *Core) Compact(index uint64, keep uint64) {
-	if index > c.log.applied || index <= keep {
+// Compact drops the log up to index, which a durable snapshot covers, except for the last entries of that range: at most keep of them,
+// with at most keepBytes bytes of data.
+func (c *Core) Compact(index uint64, keep uint64, keepBytes int) {
+	if index > c.log.applied {
 		return
 	}
 	c.membership.compact(index)
-	c.log.compact(index - keep)
+	c.log.compact(c.log.firstOf(index, keep, keepBytes) - 1)
 }
 
 // SnapshotMetadata returns the index, term and membership for a snapshot of the applied state, without its data.
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -122,6 +122,20 @@
 	return entries[:n:n]
 }
 
+// firstOf returns the index of the first of the last entries up to index, at most n of them with at most size bytes of data; index + 1 if
+// there is none.
+func (l *raftLog) firstOf(index, n uint64, size int) uint64 {
+	first := index + 1
+	for first > l.offset+1 && index+1-first < n {
+		size -= len(l.entries[first-l.offset-2].Data)
+		if size < 0 {
+			break
+		}
+		first--
+	}
+	return first
+}
+
 // compact drops the entries up to index.
 func (l *raftLog) compact(index uint64) {
 	if index <= l.offset {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -311,7 +311,7 @@
 	unreadable := errors.New("snapshot is temporarily unreadable")
 	leader.cfg.LoadSnapshot = func() (*apiv1.GroupSnapshot, error) { return nil, unreadable }
 	leader.cfg.ChunkBytes = 1000
-	leader.Compact(snapshot.Index, 0)
+	leader.Compact(snapshot.Index, 0, 0)
 	g.isolated[3] = false
 	g.advance(time.Second)
 	require.Empty(t, g.applied[3])
