peer: count the exchanges of departures

The traffic counters of a node left out METHOD_DEPARTURES: its bytes were counted for the next exchange on the same stream. MethodCount follows the last method now; TestEveryMethodIsCounted fails with the constant as it was (15 of 16).

--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -9,7 +9,7 @@
 )
 
 // MethodCount is the number of methods that Traffic counts separately.
-const MethodCount = int(apiv1.Method_METHOD_LOADS) + 1
+const MethodCount = int(apiv1.Method_METHOD_DEPARTURES) + 1
 
 // controlFrames is the method under which the frames of control streams are counted: pings, cancellations, hellos.
 const controlFrames = apiv1.Method_METHOD_UNSPECIFIED
--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -64,3 +64,8 @@
 		require.Zero(t, exchanges)
 	})
 }
+
+// TestEveryMethodIsCounted guards against a new method whose bytes are counted for the next exchange on its stream.
+func TestEveryMethodIsCounted(t *testing.T) {
+	require.Len(t, apiv1.Method_name, peer.MethodCount)
+}
