--- /dev/null
+++ b/review/standin-2/drain.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// send sends one request on a new connection and returns the status, 0 without an answer.
+func send(m *machine, method, path, id, key string, limit time.Duration) (int, error) {
+	c, err := net.DialTimeout("tcp", m.addr(m.fleet.ports.outbound), time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	auth := ""
+	if key != "" {
+		auth = "Authorization: Bearer " + key + "\r\n"
+	}
+	length := ""
+	if method == "POST" {
+		length = "Content-Length: 0\r\n"
+	}
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nGuavaford-Attempt-Id: %s\r\nGuavaford-Deadline-Ms: %d\r\n%s%s\r\n", method, path, prefixHost, id, limit.Milliseconds(), auth, length)
+	_ = c.SetReadDeadline(time.Now().Add(limit + 500*time.Millisecond))
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, err
+}
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// drainUnderLoad: the backends of a service turn slow, and calls of another backend wait for a slot. One of the slow backends reports that it
+// drains. With the disruption off, the backends do not turn slow.
+func drainUnderLoad(rec *record, root string, trouble bool) verdict {
+	const (
+		slots = 10
+		drain = 2 * time.Second
+		quick = 60 * time.Millisecond
+		// slow is below four times the longest work of a request of this service in the site file (1.8 s).
+		slow = 3500 * time.Millisecond
+	)
+	routes := []route{
+		{Name: "venue", Authority: prefixHost, Prefix: "/venue/", Kind: "idempotent", Timeout: "6000ms", Target: "1500ms", Attempts: 2, Service: "premis"},
+		{Name: "status", Authority: prefixHost, Prefix: "/status/", Kind: "idempotent", Timeout: "5000ms", Target: "1000ms", Attempts: 2, Public: true, Service: "premis"},
+	}
+	f := setup(rec, root, []string{"jadual", "premis", "premis"}, routes, []string{"jadual", "premis"})
+	if f == nil {
+		return cannotRun
+	}
+	defer f.close()
+	var slowNow atomic.Bool
+	var mu sync.Mutex
+	var confirmed time.Time // when the backend that drains got its confirmation
+	late, inTime := 0, 0
+	handler := func(leaves bool) func(b *backend, c *backendConn, r *http.Request) bool {
+		return func(b *backend, c *backendConn, r *http.Request) bool {
+			id, work := r.Header.Get("Guavaford-Attempt-Id"), quick
+			b.ran(id)
+			if slowNow.Load() {
+				work = slow
+			}
+			if leaves {
+				mu.Lock()
+				if !confirmed.IsZero() {
+					since := time.Since(confirmed)
+					if since > drain {
+						late++
+						rec.logf("backend %s: request %s (%s) arrives %.3f s after the confirmation", b.id, id, r.URL.Path, since.Seconds())
+					} else {
+						inTime++
+					}
+				}
+				mu.Unlock()
+			}
+			time.Sleep(work)
+			return c.answer(r, 200, []byte("ok")) == nil
+		}
+	}
+	stays, err := startBackend(f.sides[1], "i-stays", slots, handler(false))
+	if err != nil {
+		return cannotRun
+	}
+	defer stays.close()
+	leaves, err := startBackend(f.sides[2], "i-leaves", slots, handler(true))
+	if err != nil {
+		return cannotRun
+	}
+	defer leaves.close()
+	time.Sleep(3 * time.Second)
+	var wg sync.WaitGroup
+	var answers sync.Map
+	count := func(what string, status int, err error) {
+		key := fmt.Sprintf("%s: status %d, error %v", what, status, err != nil)
+		n, _ := answers.LoadOrStore(key, new(atomic.Int64))
+		n.(*atomic.Int64).Add(1)
+	}
+	client := func(path, key string, limit time.Duration) {
+		wg.Go(func() {
+			status, err := send(f.sides[0], "GET", path, newID(), key, limit)
+			count(path[:3], status, err)
+		})
+	}
+	// A calm start, in which requests take 60 ms.
+	for range 100 {
+		client("/venue/a", "key-one", 6*time.Second)
+		client("/status/a", "", 5*time.Second)
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+	if trouble {
+		slowNow.Store(true)
+		rec.logf("both backends of premis turn slow")
+	}
+	for range 24 {
+		client("/venue/b", "key-one", 6*time.Second)
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for range 16 {
+		client("/status/b", "", 5*time.Second)
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond)
+	leaves.mu.Lock()
+	leaves.state = "draining"
+	leaves.mu.Unlock()
+	status := 0
+	for until := time.Now().Add(3 * time.Second); status != 200 && time.Now().Before(until); {
+		status = leaves.report("draining")
+	}
+	if status != 200 {
+		rec.logf("cannot run: draining is not confirmed (%d)", status)
+		return cannotRun
+	}
+	mu.Lock()
+	confirmed = time.Now()
+	mu.Unlock()
+	rec.logf("backend i-leaves: draining is confirmed")
+	// New requests go on.
+	for range 40 {
+		client("/venue/c", "key-one", 3*time.Second)
+		client("/status/c", "", 3*time.Second)
+		time.Sleep(100 * time.Millisecond)
+	}
+	wg.Wait()
+	rec.logf("backend i-leaves: DELETE -> %d", leaves.remove())
+	leaves.mu.Lock()
+	leaves.state = ""
+	leaves.mu.Unlock()
+	answers.Range(func(k, v any) bool { rec.logf("clients: %v: %d", k, v.(*atomic.Int64).Load()); return true })
+	mu.Lock()
+	defer mu.Unlock()
+	rec.logf("requests at the backend after its confirmation: %d within %v, %d later", inTime, drain, late)
+	if late > 0 {
+		return broken
+	}
+	return held
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 // cases maps the name of a case to its function. trouble is false with TROUBLE=0.
 var cases = map[string]func(rec *record, root string, trouble bool) verdict{
 	"early": earlyAnswer,
+	"drain": drainUnderLoad,
 }
 
 func main() {
