Review case 8: answers of bookings are discarded while they are read

Cause: the call table drops the oldest kept answers beyond 64 MiB even if their first reader has not finished. Change: the case and its stand-ins.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(rec *record, root string, trouble bool) verdict{
 	"early": earlyAnswer,
 	"drain": drainUnderLoad,
+	"kept":  answerBurst,
 }
 
 func main() {
