Review case 10: a node hears of no change for 4 s when two control replicas of its zone are frozen

Cause: every 30 s a node returns to a replica of its own zone. Opening a connection to a frozen one takes as long as the whole heartbeat, and the failure is not recorded. Change: the case and its stand-ins.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	"drain": drainUnderLoad,
 	"kept":  answerBurst,
 	"twice": sameRouteTwice,
+	"stale": staleAfterFreeze,
 }
 
 func main() {
