Review case 9: a backend that has left is in use again after all processes were killed

Cause: departures are kept in memory only; a majority of restarted control replicas answers that it knows of none.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,7 +22,7 @@
 	"early": earlyAnswer,
 	"drain": drainUnderLoad,
 	"kept":  answerBurst,
-	"twice": sameRouteTwice,
+	"gone":  leftBeforeKill,
 	"stale": staleAfterFreeze,
 }
 
