Review case 6: a booking that is sent to a second backend runs with a part of its body missing

Cause: the body of the refused attempt is still read by its goroutine when the second attempt starts to read it.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,8 +21,8 @@
 var cases = map[string]func(rec *record, root string, trouble bool) verdict{
 	"early": earlyAnswer,
 	"drain": drainUnderLoad,
-	"kept":  answerBurst,
 	"gone":  leftBeforeKill,
+	"tail":  refusedBodies,
 	"stale": staleAfterFreeze,
 }
 
