--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 )
 
 // verdict is the exit code of a case.
@@ -17,6 +18,9 @@
 	cannotRun verdict = 2
 )
 
+// maxTime is the longest time that a case may take.
+const maxTime = 115 * time.Second
+
 // cases maps the name of a case to its function. trouble is false with TROUBLE=0.
 var cases = map[string]func(rec *record, root string, trouble bool) verdict{
 	"early": earlyAnswer,
@@ -40,6 +44,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(int(cannotRun))
 	}
+	// The processes that the case has started end with this one.
+	time.AfterFunc(maxTime, func() {
+		rec.logf("cannot run: not done after %v", maxTime)
+		os.Exit(int(cannotRun))
+	})
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.logf("case %s, disruption %v", os.Args[1], trouble)
 	v := cases[os.Args[1]](rec, root, trouble)
