--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,7 +40,7 @@
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// drainUnderLoad: the backends of a service turn slow, and calls of another backend wait for a slot. One of the slow backends reports that it
+// drainUnderLoad: the backends of a service turn slow, and calls that another backend makes for its requests wait for a slot. One of the slow backends reports that it
 // drains. With the disruption off, the backends do not turn slow.
 func drainUnderLoad(rec *record, root string, trouble bool) verdict {
 	const (
@@ -50,6 +51,7 @@
 		slow = 3500 * time.Millisecond
 	)
 	routes := []route{
+		{Name: "hearing", Authority: prefixHost, Prefix: "/hearing/", Kind: "idempotent", Timeout: "5000ms", Target: "1200ms", Attempts: 2, Service: "jadual"},
 		{Name: "venue", Authority: prefixHost, Prefix: "/venue/", Kind: "idempotent", Timeout: "6000ms", Target: "1500ms", Attempts: 2, Service: "premis"},
 		{Name: "status", Authority: prefixHost, Prefix: "/status/", Kind: "idempotent", Timeout: "5000ms", Target: "1000ms", Attempts: 2, Public: true, Service: "premis"},
 	}
@@ -86,6 +88,21 @@
 			return c.answer(r, 200, []byte("ok")) == nil
 		}
 	}
+	// The backend of jadual makes one call for each request, within the time that the request has left.
+	caller, err := startBackend(f.sides[0], "i-jadual", 267, func(b *backend, c *backendConn, r *http.Request) bool {
+		left, _ := strconv.Atoi(r.Header.Get("Guavaford-Deadline-Ms"))
+		id := r.Header.Get("Guavaford-Attempt-Id")
+		status, _ := send(b.machine, "GET", "/status/x", id+"."+newID(), "", time.Duration(left)*time.Millisecond)
+		if status != 200 {
+			return c.answer(r, 500, nil) == nil
+		}
+		return c.answer(r, 200, []byte("ok")) == nil
+	})
+	if err != nil {
+		rec.logf("cannot run: %v", err)
+		return cannotRun
+	}
+	defer caller.close()
 	stays, err := startBackend(f.sides[1], "i-stays", slots, handler(false))
 	if err != nil {
 		return cannotRun
@@ -113,7 +130,7 @@
 	// A calm start, in which requests take 60 ms.
 	for range 100 {
 		client("/venue/a", "key-one", 6*time.Second)
-		client("/status/a", "", 5*time.Second)
+		client("/hearing/a", "key-one", 5*time.Second)
 		time.Sleep(20 * time.Millisecond)
 	}
 	wg.Wait()
@@ -127,7 +144,7 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	for range 16 {
-		client("/status/b", "", 5*time.Second)
+		client("/hearing/b", "key-one", 5*time.Second)
 		time.Sleep(5 * time.Millisecond)
 	}
 	time.Sleep(200 * time.Millisecond)
@@ -149,7 +166,7 @@
 	// New requests go on.
 	for range 40 {
 		client("/venue/c", "key-one", 3*time.Second)
-		client("/status/c", "", 3*time.Second)
+		client("/hearing/c", "key-one", 5*time.Second)
 		time.Sleep(100 * time.Millisecond)
 	}
 	wg.Wait()
