--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -68,6 +68,7 @@
 		return func(b *backend, c *backendConn, r *http.Request) bool {
 			id, work := r.Header.Get("Guavaford-Attempt-Id"), quick
 			b.ran(id)
+			rec.logf("backend %s: runs request %s (%s)", b.id, id, r.URL.Path)
 			if slowNow.Load() {
 				work = slow
 			}
@@ -123,7 +124,9 @@
 	}
 	client := func(path, key string, limit time.Duration) {
 		wg.Go(func() {
-			status, err := send(f.sides[0], "GET", path, newID(), key, limit)
+			id := newID()
+			status, err := send(f.sides[0], "GET", path, id, key, limit)
+			rec.logf("client: request %s for %s -> %d", id, path, status)
 			count(path[:3], status, err)
 		})
 	}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -68,6 +68,13 @@
 	fmt.Print(line)
 }
 
+// writef writes a line to the file alone, without the time.
+func (r *record) writef(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.file, format+"\n", args...)
+}
+
 // newFleet lays out a deployment with 5 core machines and one sidecar machine for each of the services.
 func newFleet(rec *record, root string, services []string) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "guavaford-review-")
--- a/review/standin-2/left.go
+++ b/review/standin-2/left.go
@@ -31,7 +31,10 @@
 		return func(b *backend, c *backendConn, r *http.Request) bool {
 			mu.Lock()
 			since, calm := time.Since(confirmed), time.Now().After(inTouchFrom)
-			if leaves && !confirmed.IsZero() {
+			switch {
+			case !leaves:
+				rec.logf("backend %s: runs request %s", b.id, r.Header.Get("Guavaford-Attempt-Id"))
+			case !confirmed.IsZero():
 				rec.logf("backend %s: request %s arrives %.3f s after the confirmation, all machines in touch: %v", b.id, r.Header.Get("Guavaford-Attempt-Id"), since.Seconds(), calm)
 				if since > drain && calm {
 					late++
@@ -98,7 +101,9 @@
 	for i := range 6 {
 		wg.Go(func() {
 			for time.Since(confirmed) < servesFor {
-				status, err := send(f.sides[i%3], "POST", "/booking/x", newID(), "key-one", 2*time.Second)
+				id := newID()
+				status, err := send(f.sides[i%3], "POST", "/booking/x", id, "key-one", 2*time.Second)
+				rec.logf("client on %s: request %s -> %d", f.sides[i%3].name, id, status)
 				if status == 200 && err == nil {
 					served.Add(1)
 				} else {
--- a/review/standin-2/stale.go
+++ b/review/standin-2/stale.go
@@ -113,6 +113,7 @@
 		}
 		id := newID()
 		status, err := send(side, "GET", "/step-"+strconv.Itoa(last-1)+"/", id, "key-one", 2*time.Second)
+		rec.logf("client on %s: request %s for route step-%d -> %d", side.name, id, last-1, status)
 		if !inTouch(now) || !inTouch(time.Now()) {
 			return
 		}
--- a/review/standin-2/tail.go
+++ b/review/standin-2/tail.go
@@ -34,17 +34,31 @@
 	for i := 0; i+16 <= size; i += 16 {
 		copy(sent[i:], fmt.Sprintf("offset %08x;", i))
 	}
+	// What became of each request.
+	type entry struct{ status, refusals, runs, bytes int }
+	var mu sync.Mutex
+	ledger := map[string]*entry{}
+	note := func(id string, change func(*entry)) {
+		mu.Lock()
+		defer mu.Unlock()
+		if ledger[id] == nil {
+			ledger[id] = &entry{}
+		}
+		change(ledger[id])
+	}
 	var whole, cut, refused, wrong atomic.Int64
 	var spared atomic.Pointer[backend] // the backend that does not refuse at the moment; nil while none does
 	handle := func(b *backend, c *backendConn, r *http.Request) bool {
 		id := r.Header.Get("Guavaford-Attempt-Id")
 		if other := spared.Load(); other != nil && other != b && rand.Float64() < shedShare {
 			refused.Add(1)
+			note(id, func(e *entry) { e.refusals++ })
 			fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nGuavaford-Attempt-Id: %s\r\nGuavaford-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 			_, err := io.Copy(io.Discard, r.Body)
 			return err == nil
 		}
 		got, err := io.ReadAll(r.Body)
+		note(id, func(e *entry) { e.runs, e.bytes = e.runs+1, len(got) })
 		switch {
 		case err != nil:
 			cut.Add(1)
@@ -93,13 +107,20 @@
 	for i := range clients {
 		wg.Go(func() {
 			for time.Now().Before(end) {
-				status := bookInChunks(f.sides[i%4], body.Bytes())
+				id := newID()
+				status := bookInChunks(f.sides[i%4], id, body.Bytes())
+				note(id, func(e *entry) { e.status = status })
 				n, _ := statuses.LoadOrStore(status, new(atomic.Int64))
 				n.(*atomic.Int64).Add(1)
 			}
 		})
 	}
 	wg.Wait()
+	mu.Lock()
+	for id, e := range ledger {
+		rec.writef("request %s: %d bytes sent, answered with %d, refused %d times, run %d times with %d bytes", id, size, e.status, e.refusals, e.runs, e.bytes)
+	}
+	mu.Unlock()
 	statuses.Range(func(k, v any) bool { rec.logf("clients: status %v: %d", k, v.(*atomic.Int64).Load()); return true })
 	rec.logf("backends: %d refused, %d ran with the whole body, %d bodies broke off, %d ran with another body than was sent", refused.Load(), whole.Load(), cut.Load(), wrong.Load())
 	switch {
@@ -112,13 +133,13 @@
 }
 
 // bookInChunks sends a request whose body is encoded in chunks, and returns the status of its answer, 0 without one.
-func bookInChunks(m *machine, chunks []byte) int {
+func bookInChunks(m *machine, id string, chunks []byte) int {
 	c, err := net.Dial("tcp", m.addr(m.fleet.ports.outbound))
 	if err != nil {
 		return 0
 	}
 	defer c.Close()
-	head := fmt.Sprintf("POST /booking/x HTTP/1.1\r\nHost: %s\r\nGuavaford-Attempt-Id: %s\r\nGuavaford-Deadline-Ms: 5000\r\nAuthorization: Bearer key-one\r\nTransfer-Encoding: chunked\r\n\r\n", prefixHost, newID())
+	head := fmt.Sprintf("POST /booking/x HTTP/1.1\r\nHost: %s\r\nGuavaford-Attempt-Id: %s\r\nGuavaford-Deadline-Ms: 5000\r\nAuthorization: Bearer key-one\r\nTransfer-Encoding: chunked\r\n\r\n", prefixHost, id)
 	go func() { _, _ = c.Write(append([]byte(head), chunks...)) }()
 	_ = c.SetReadDeadline(time.Now().Add(6 * time.Second))
 	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: "POST"})
