Empty the queue of a target that drains

Cause: draining was a flag that only arrivals looked at. Queued requests, suspects that waited for a trial and admitted requests that waited for a connection still ran, and calls of targets may wait for all of their time.

Change: draining, removal, the next run of a target under its name or at another address, a notice in a response, an operator's document and a stop of the node refuse everything that has not been sent to the target as not run. A request counts as sent with its first byte; transports ask before it. The node that made the request sends it to another target at once, which counts neither as an attempt nor as a repeat.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -27,7 +27,8 @@
 	// fixedLimitShare is the share of the announced slots that a fixed limit uses: targets slow
 	// down when they are nearly full, and a new connection may hold a slot.
 	fixedLimitShare = 0.95
-	// minRetryAfter and maxRetryAfter bound the time that a refused caller is told to wait before a retry.
+	// minRetryAfter and maxRetryAfter bound the time that a refused caller is told to wait before a retry. The shorter one is also that
+	// of a target which drains: the refusal itself tells the node that sent the request to choose other targets.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 )
@@ -84,9 +85,18 @@
 	c.dispatch(now)
 }
 
-// SetDraining makes the state machine refuse all new requests, or accept them again. Queued requests still run.
-func (c *StateMachine) SetDraining(draining bool) {
+// SetDraining makes the state machine refuse all requests, queued ones included, or accept them again. It returns the number of requests
+// that left the queue. They have not run, so their callers can send them to another target at once.
+func (c *StateMachine) SetDraining(draining bool) (left int) {
 	c.draining = draining
+	if !draining {
+		return 0
+	}
+	for w := c.queue.pop(); w != nil; w = c.queue.pop() {
+		c.recordDecision(w, refuse(outcome.TargetLeaving, minRetryAfter, "the target takes no new work; the request was queued there"))
+		left++
+	}
+	return left
 }
 
 // SetRateLimit sets how many requests may start in a second; 0 ends the limit.
@@ -124,7 +134,7 @@
 // Arrive decides on a new request. The final decision on a queued one is returned by TakeDecisions later.
 func (c *StateMachine) Arrive(now time.Time, w *Waiter) Decision {
 	if c.draining {
-		return refuse(outcome.TargetLeaving, 0, "the target takes no new work")
+		return refuse(outcome.TargetLeaving, minRetryAfter, "the target takes no new work")
 	}
 	if !c.config.NoShedding {
 		c.shedder.countArrival(now, &w.Request)
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -149,11 +149,21 @@
 	g.deliver()
 }
 
-// SetDraining makes the controller refuse all new requests, or accept them again.
-func (g *Controller) SetDraining(draining bool) {
+// SetDraining makes the controller refuse all requests, queued ones included, or accept them again. It returns the number of requests that
+// left the queue.
+func (g *Controller) SetDraining(draining bool) (left int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.core.SetDraining(draining)
+	left = g.core.SetDraining(draining)
+	g.deliver()
+	return left
+}
+
+// Draining reports whether the controller refuses all requests.
+func (g *Controller) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.draining
 }
 
 // Load returns the current state; its cutoff is that of an organisation that is not known.
--- a/internal/dispatch/bounded.go
+++ b/internal/dispatch/bounded.go
@@ -25,7 +25,7 @@
 
 // runBounded makes attempts until one succeeds, no further one is allowed, or MaxTargets targets were
 // reached. When the node on a target's host refuses an attempt before it reaches the target, that costs
-// nothing and another target is tried at once. An attempt after one that reached a target is a repeat; the
+// nothing and another target is tried at once; if it refuses since the target drains, not even an attempt. An attempt after one that reached a target is a repeat; the
 // gate of its target decides whether the limit on repeats allows it.
 func (c *call) runBounded(ctx context.Context) *Result {
 	c.started = c.dispatcher.o.Clock.Now()
@@ -38,6 +38,9 @@
 		}
 		answer := c.attemptBuffered(ctx, choice)
 		refusal = answer.Refusal()
+		if c.moveOn(ctx, choice, refusal) {
+			continue
+		}
 		c.logAttempt(choice, refusal)
 		if refusal == nil {
 			return c.finalResult(answer, nil)
@@ -152,7 +155,7 @@
 // logAttempt logs a finished attempt, unless it was the first and succeeded.
 func (c *call) logAttempt(choice route.Choice, r *outcome.Refusal) {
 	d := c.dispatcher
-	if r == nil && c.attempts == 1 {
+	if r == nil && c.attempts == 1 && c.moves == 0 {
 		return
 	}
 	leftOut, ok := d.o.LogLimiter.Allow(d.o.Clock.Now())
@@ -161,7 +164,7 @@
 	}
 	if r == nil {
 		d.o.Log.Info("answered after another attempt", "request", c.request.Origin.RequestID, "service", c.request.Service,
-			"target", choice.Target().Name, "attempts", c.attempts, "left_out", leftOut)
+			"target", choice.Target().Name, "attempts", c.attempts, "moves", c.moves, "left_out", leftOut)
 		return
 	}
 	d.o.Log.Info("attempt failed", "request", c.request.Origin.RequestID, "service", c.request.Service,
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -22,7 +22,9 @@
 	dispatcher *Dispatcher
 	service    *service
 	request    *Request
-	attempts   int
+	// attempts counts the attempts, moves those that were sent on to another target since theirs drained; these are not among attempts.
+	attempts int
+	moves    int
 	// backoffs counts the waits before another attempt.
 	backoffs int
 	// tried lists the targets of earlier attempts.
@@ -54,6 +56,9 @@
 		}
 		answer := c.attempt(ctx, choice)
 		refusal = answer.Refusal()
+		if c.moveOn(ctx, choice, refusal) {
+			continue
+		}
 		if c.redirect(refusal) {
 			last = answer
 			continue
@@ -224,7 +229,7 @@
 		Path:          r.Path,
 		Headers:       r.Headers,
 		ContentLength: r.Body.Length,
-		Attempt:       uint32(c.attempts),
+		Attempt:       uint32(c.attempts + c.moves),
 		Route:         origin.Route,
 		Host:          r.Host,
 		CallerService: r.CallerService,
--- /dev/null
+++ b/internal/gate/drain.go
@@ -0,0 +1,108 @@
+package gate
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/guavaford/guavaford/internal/outcome"
+)
+
+// conditionalTransport is a transport that asks right before it sends a request. Requests over other transports count as sent once they
+// are passed on.
+type conditionalTransport interface {
+	// RoundTripIf is like RoundTrip, but calls mayBegin before the first byte of the request is written, perhaps more than once. If that
+	// returns false, nothing is written and an error is returned.
+	RoundTripIf(r *http.Request, mayBegin func() bool) (*http.Response, error)
+}
+
+// sendState says whether the request of an execution has been sent to its target. The zero value means that it has not.
+type sendState struct{ value atomic.Int32 }
+
+const (
+	unsent int32 = iota
+	sent
+	// withdrawn requests are never sent.
+	withdrawn
+)
+
+// leavingRetryAfter is the RetryAfter of a request that a target did not take as it drains or is gone. The refusal itself tells the node
+// that sent the request to choose other targets.
+const leavingRetryAfter = 100 * time.Millisecond
+
+func leavingRefusal(detail string) *outcome.Refusal {
+	return outcome.NotRun(outcome.TargetLeaving, leavingRetryAfter, "%s", detail)
+}
+
+// errWithdrawn is the error of an exchange that was not begun.
+var errWithdrawn = errors.New("the target drains, the request is not sent")
+
+// setDraining makes a target refuse all requests that have not been sent to it, or accept requests again unless it has said that it leaves.
+func (g *Gate) setDraining(e *targetEntry, draining bool) {
+	e.notices.mu.Lock()
+	draining = draining || e.notices.leaving
+	queued := e.admission.SetDraining(draining)
+	e.runs.trials.SetDraining(draining)
+	e.notices.mu.Unlock()
+	if !draining {
+		return
+	}
+	unsent := e.runs.withdrawUnsent()
+	if queued+unsent == 0 {
+		return
+	}
+	g.opts.Metrics.Withdrawn.Add(int64(queued + unsent))
+	g.opts.Log.Info("requests leave a target that drains", "target", e.target.Name, "service", e.target.Service, "queued", queued, "unsent", unsent)
+}
+
+// withdrawUnsent ends the executions whose requests have not been sent, and returns their number.
+func (s *runState) withdrawUnsent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for x := range s.running {
+		if x.withdraw() {
+			n++
+		}
+	}
+	return n
+}
+
+// withdraw prevents the request from being sent, and ends the wait for a connection. It returns false if the request has been sent.
+func (x *execution) withdraw() bool {
+	if !x.sending.value.CompareAndSwap(unsent, withdrawn) {
+		return false
+	}
+	x.cancel()
+	return true
+}
+
+// mayBegin reports whether the request may be sent, and counts it as sent if so. A target that drains gets no more requests.
+func (x *execution) mayBegin() bool {
+	if x.entry.admission.Draining() {
+		x.withdraw()
+	}
+	return x.sending.value.CompareAndSwap(unsent, sent) || x.sending.value.Load() == sent
+}
+
+// roundTrip sends the request, unless the target drains before the first byte is written.
+func (x *execution) roundTrip(r *http.Request) (*http.Response, error) {
+	transport := x.gate.opts.Transport
+	if conditional, ok := transport.(conditionalTransport); ok {
+		return conditional.RoundTripIf(r, x.mayBegin)
+	}
+	if !x.mayBegin() {
+		return nil, errWithdrawn
+	}
+	return transport.RoundTrip(r)
+}
+
+// withdrawnRefusal returns the refusal of a request that was withdrawn before it was sent, or nil.
+func (x *execution) withdrawnRefusal() *outcome.Refusal {
+	if x.sending.value.Load() != withdrawn {
+		return nil
+	}
+	return leavingRefusal("the target takes no new work; the request was admitted there but not sent")
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,6 +13,9 @@
 // A target may say in its responses how many requests per second it accepts, and that it leaves.
 // The gate keeps to such notices for the rest of that run of the target.
 //
+// When a target drains, is removed or is replaced, or the node stops, the calls that have not been sent to it are refused as not run
+// at once, so that they go to other targets: those that are queued or wait for a trial, and admitted ones that still wait for a connection.
+//
 // When a target crashes, the requests that it ran become suspects: they run on trial only, and one that crashes
 // targets is refused (see quarantine).
 //
@@ -206,8 +209,9 @@
 		next[t.Name] = g.updatedEntry(t)
 	}
 	for name, e := range g.targets {
-		if _, ok := next[name]; !ok {
-			e.admission.SetDraining(true)
+		if kept, ok := next[name]; !ok || kept.admission != e.admission {
+			// Requests that wait here would run at a process that is gone, or beside those that the next one admits.
+			g.setDraining(e, true)
 		}
 	}
 	g.targets = next
@@ -225,17 +229,17 @@
 	}
 	e.target = t
 	leaving := t.State == apiv1.TargetState_TARGET_STATE_LEAVING || g.opts.Policies.Draining(t)
-	e.setDraining(leaving || g.closing)
+	g.setDraining(e, leaving || g.closing)
 	return e
 }
 
-// Close makes the gate refuse new calls for every target. Calls that run are not stopped.
+// Close makes the gate refuse new and queued calls for every target. Calls that run are not stopped.
 func (g *Gate) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.closing = true
 	for _, e := range g.targets {
-		e.admission.SetDraining(true)
+		g.setDraining(e, true)
 	}
 }
 
@@ -271,7 +275,7 @@
 func (g *Gate) Do(ctx context.Context, h *apiv1.CallHeader, body io.Reader) *Answer {
 	e, ok := g.find(h.GetTarget())
 	if !ok || e.target.Service != h.GetService() {
-		return refuse(h, outcome.NotRun(outcome.TargetLeaving, 0, "the target is not on this host"), nil)
+		return refuse(h, leavingRefusal("the target is not on this host"), nil)
 	}
 	if h.GetIdempotent() {
 		return g.runIdempotent(ctx, e, h, body)
--- a/internal/gate/notices.go
+++ b/internal/gate/notices.go
@@ -101,8 +101,8 @@
 	n.mu.Lock()
 	known := n.leaving
 	n.leaving = true
-	x.entry.admission.SetDraining(true)
 	n.mu.Unlock()
+	x.gate.setDraining(x.entry, true)
 	if known {
 		return
 	}
@@ -112,14 +112,6 @@
 	}
 }
 
-// setDraining makes the admission of the target refuse new requests, or accept them again unless the target has said that it
-// leaves.
-func (e *targetEntry) setDraining(draining bool) {
-	e.notices.mu.Lock()
-	defer e.notices.mu.Unlock()
-	e.admission.SetDraining(draining || e.notices.leaving)
-}
-
 // isLeaving reports whether the target has said that it leaves.
 func (n *notices) isLeaving() bool {
 	n.mu.Lock()
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -36,6 +36,8 @@
 	handle  callctx.Handle
 	cancel  context.CancelFunc
 	started time.Time
+	// sending says whether the request has been sent to the target.
+	sending sendState
 	once    sync.Once
 	// answered is set once the target has answered the request itself.
 	answered bool
@@ -113,7 +115,7 @@
 		x.end(admission.Cancelled)
 		return nil, outcome.NotRun(outcome.BadRequest, 0, "%v", err)
 	}
-	resp, err := x.gate.opts.Transport.RoundTrip(req)
+	resp, err := x.roundTrip(req)
 	if err == nil {
 		if resp.StatusCode != http.StatusMisdirectedRequest {
 			// Otherwise another target has the address, and speaks of itself.
@@ -129,6 +131,10 @@
 		x.end(admission.Rejected)
 		return nil, refusal
 	}
+	if refusal := x.withdrawnRefusal(); refusal != nil {
+		x.end(admission.Cancelled)
+		return nil, refusal
+	}
 	refusal := transportRefusal(ctx, err)
 	x.suspect = x.observeBreak(ctx, err)
 	x.end(refusalResult(refusal))
--- a/internal/gate/suspects.go
+++ b/internal/gate/suspects.go
@@ -134,6 +134,9 @@
 	wait := time.Duration(trialWaitShare * float64(h.GetTimeoutNs()))
 	trial := e.runs.trials.Acquire(ctx, f, alone, wait)
 	waited := g.opts.Clock.Now().Sub(began)
+	if trial == nil && e.admission.Draining() {
+		return nil, leavingRefusal("the target takes no new work; the request waited there for a trial")
+	}
 	if trial == nil {
 		return nil, outcome.NotRun(outcome.Suspected, trialRetryAfter, "a target crashed while it ran this request (%s); other trials run", f)
 	}
@@ -171,7 +174,7 @@
 	g := x.gate
 	p, ok := g.opts.Transport.(prober)
 	var op *net.OpError
-	if g.opts.Quarantine == nil || !ok || ctx.Err() != nil || x.entry.notices.isLeaving() || x.entry.admission.Load().Draining ||
+	if g.opts.Quarantine == nil || !ok || ctx.Err() != nil || x.entry.notices.isLeaving() || x.entry.admission.Draining() ||
 		errors.As(err, &op) && op.Op == "dial" {
 		return nil
 	}
--- a/internal/lab/gates.go
+++ b/internal/lab/gates.go
@@ -77,7 +77,10 @@
 	g.applyDecisions()
 }
 
-func (g *adaptiveGate) drain() { g.core.SetDraining(true) }
+func (g *adaptiveGate) drain() {
+	g.core.SetDraining(true)
+	g.applyDecisions()
+}
 
 func (g *adaptiveGate) loadReport(organisation string) *apiv1.LoadReport {
 	return g.core.Load(g.sim.Now(), organisation).Message()
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"sync"
 	"time"
@@ -309,7 +310,7 @@
 	return p.board.Registry.Load().Services[service]
 }
 
-// probingTransport is an http.Transport that can tell whether the process at an address has ended.
+// probingTransport is an http.Transport that can tell whether the process at an address has ended, and that asks before it sends a request.
 type probingTransport struct {
 	*http.Transport
 }
@@ -319,6 +320,17 @@
 	return upstream.Probe(ctx, t.DialContext, address)
 }
 
+// RoundTripIf is like RoundTrip, but asks once it has a connection whether the request may be sent. If not, it closes that connection:
+// http.Transport writes the request in any case, which then fails before its first byte.
+func (t probingTransport) RoundTripIf(r *http.Request, mayBegin func() bool) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
+		if !mayBegin() {
+			_ = got.Conn.Close()
+		}
+	}}
+	return t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
 // Quarantine returns the requests that this node knows as suspects or quarantined, for operators.
 func (p *Process) Quarantine() []operator.QuarantinedRequest {
 	if p.quarantine == nil {
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -30,6 +30,8 @@
 	exclusive       *Trial
 	// inFlight is the number of requests that the target runs.
 	inFlight int
+	// draining is set while the target takes no new work.
+	draining bool
 	changed  chan struct{}
 }
 
@@ -76,6 +78,14 @@
 	t.notify()
 }
 
+// SetDraining makes Acquire return nil at once, also for those that wait already, or lets suspects run again.
+func (t *Trials) SetDraining(draining bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.draining = draining
+	t.notify()
+}
+
 // Exclusive reports whether the target is kept for one suspect, so that it takes no other request.
 func (t *Trials) Exclusive() bool {
 	t.mu.Lock()
@@ -83,8 +93,8 @@
 	return t.exclusive != nil
 }
 
-// Acquire waits until a suspect may run: with few others, or alone. It returns nil if the suspect is held already, or if that
-// takes too long.
+// Acquire waits until a suspect may run: with few others, or alone. It returns nil if the suspect is held already, if that
+// takes too long, or once the target drains.
 func (t *Trials) Acquire(ctx context.Context, f Fingerprint, alone bool, maxWait time.Duration) *Trial {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -123,6 +133,9 @@
 	defer timeout.Stop()
 	var drained <-chan time.Time
 	for {
+		if t.draining {
+			return false
+		}
 		if alone {
 			if t.exclusive == nil {
 				t.exclusive = trial
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -18,6 +18,10 @@
 	Attempts atomic.Int64
 	// ExtraAttempts counts attempts after the first of a call.
 	ExtraAttempts atomic.Int64
+	// MovedAttempts counts attempts that were sent on to another target since theirs drained before it got them.
+	MovedAttempts atomic.Int64
+	// Withdrawn counts requests that left a target of this host as it drained, before they were sent to it.
+	Withdrawn atomic.Int64
 	// Executions counts requests that were sent to a target of this host.
 	Executions atomic.Int64
 	// Fences counts guarantees given to other nodes that a call was not started and never will be.
@@ -103,6 +107,8 @@
 			"sub_calls":      m.SubCalls.Load(),
 			"attempts":       m.Attempts.Load(),
 			"extra_attempts": m.ExtraAttempts.Load(),
+			"moved_attempts": m.MovedAttempts.Load(),
+			"withdrawn":      m.Withdrawn.Load(),
 			"executions":     m.Executions.Load(),
 			"fences":         m.Fences.Load(),
 			"attaches":       m.Attaches.Load(),
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -36,6 +36,8 @@
 var (
 	// ErrMismatchedResponse means that the response does not belong to the request that was sent.
 	ErrMismatchedResponse = errors.New("the response belongs to another request")
+	// ErrNotSent means that no byte of the request was sent, as RoundTripIf was told so.
+	ErrNotSent = errors.New("the request was not sent")
 	// ErrHeadTooLong means that the target sent too many bytes without the end of a head.
 	ErrHeadTooLong = errors.New("the head of the response is too long")
 )
@@ -75,11 +77,22 @@
 
 // RoundTrip sends the request once and returns its response, whose body is read from the connection.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.RoundTripIf(r, func() bool { return true })
+}
+
+// RoundTripIf is like RoundTrip, but asks once it has a connection whether the request may be sent. If not, it closes
+// the connection and returns ErrNotSent.
+func (t *Transport) RoundTripIf(r *http.Request, mayBegin func() bool) (*http.Response, error) {
 	c, err := t.connect(r.Context(), r.URL.Host)
 	if err != nil {
 		closeBody(r)
 		return nil, err
 	}
+	if !mayBegin() {
+		closeBody(r)
+		_ = c.Close()
+		return nil, ErrNotSent
+	}
 	x := &exchange{transport: t, conn: c, request: r}
 	x.stopCancel = context.AfterFunc(r.Context(), func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	response, err := x.run()
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -319,3 +319,27 @@
 		})
 	}
 }
+
+// TestRequestThatMayNotBeginIsNotSent guards against a request that reaches a target which has begun to drain while the connection opened.
+func TestRequestThatMayNotBeginIsNotSent(t *testing.T) {
+	var arrived atomic.Int32
+	s := startTarget(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		arrived.Add(1)
+		writeLines(conn, okResponse(r.Header.Get(idField), "yes"))
+		return true
+	})
+	tr := newTransport()
+	for _, warm := range []bool{false, true} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.address+"/x", strings.NewReader("body"))
+		require.NoError(t, err)
+		_, err = tr.RoundTripIf(r, func() bool { return false })
+		require.ErrorIs(t, err, ErrNotSent)
+		if !warm {
+			require.Zero(t, arrived.Load())
+			_, err = exchangeWith(t, tr, s, "a", nil)
+			require.NoError(t, err)
+		}
+	}
+	time.Sleep(20 * time.Millisecond)
+	require.EqualValues(t, 1, arrived.Load())
+}
