Withdraw waiting requests from an ejected target

Cause: only the node that ejects knows of it; the gate beside the target does not, and nothing told it.

Evidence: TestCallQueuedAtAnEjectedTargetRunsAtAnother waited on until its bound of 2 s.

Change: the node that ejects a target fences its attempts there that have no answer yet. The gate obeys a fence for idempotent calls that wait and for admitted calls without a connection, too. A withdrawn request moves to another target as from one that drains: no attempt, no repeat.

Measured: TestCallQueuedAtAnEjectedTargetRunsAtAnother, TestEjectionOfATargetOfAnotherNodeWithdrawsWhatIsQueued, TestWithdrawnCallIsNotSent and TestAdmittedCallThatIsWithdrawnIsNotSent failed before. gate, dispatch, node and gateway pass under the race detector.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -36,6 +36,8 @@
 	// suspect is what a gate has said of the request after its target crashed, and trialTarget the only target at which it may run then.
 	suspect     *apiv1.QuarantineRecord
 	trialTarget string
+	// withdrawn is set if the last attempt was withdrawn from its target, which may have come too late.
+	withdrawn bool
 	// redirects counts the times that a gate named a trialTarget.
 	redirects int
 }
@@ -171,7 +173,9 @@
 		d.o.Metrics.ExtraAttempts.Add(1)
 	}
 	start := d.o.Clock.Now()
+	f := c.service.flights.begin(target, header)
 	answer := c.send(ctx, target, header)
+	c.withdrawn = c.service.flights.end(f)
 	now := d.o.Clock.Now()
 	choice.Done(observation(answer, now.Sub(start)))
 	c.recordLoads(now, target, answer.Header.GetLoad().GetPressures())
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -105,6 +105,7 @@
 	once   sync.Once
 	// loggedStates holds the states of the targets at the last update, by ID, so that changes are logged.
 	loggedStates map[string]apiv1.TargetState
+	flights      flights
 }
 
 // New returns a dispatcher that knows no service yet.
@@ -190,6 +191,7 @@
 	cfg.CutoffCache = d.cutoffs
 	cfg.OnEject = func(t *registry.Target, pause time.Duration) {
 		d.o.Log.Info("target ejected", "service", t.Service, "target", t.ID(), "pause", pause)
+		go d.withdrawFrom(s, t)
 	}
 	s = &service{
 		picker: route.NewPicker(cfg, d.o.DataCentre, d.o.Clock, rand.Uint64()),
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -22,6 +22,7 @@
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/retry"
+	"github.com/guavaford/guavaford/internal/route"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
@@ -36,6 +37,8 @@
 	attach func() (*gate.Answer, error)
 	// leave cancels the context of the caller.
 	leave context.CancelFunc
+	// eject makes the dispatcher eject the target of the last call.
+	eject func()
 }
 
 func (s *fakeSender) Call(_ context.Context, _ string, h *apiv1.CallHeader, _ io.Reader) (*gate.Answer, error) {
@@ -115,6 +118,14 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		s.leave = cancel
+		s.eject = func() {
+			last := s.calls[len(s.calls)-1].GetTarget()
+			for range 20 {
+				choice, refusal := d.service("s").picker.Pick(route.Query{Accept: func(t *registry.Target) bool { return t.Name == last }})
+				require.Nil(t, refusal)
+				choice.Done(route.Observation{Outcome: route.Unreachable})
+			}
+		}
 		start := time.Now()
 		r := &Request{
 			Origin:  &callctx.Origin{Organisation: "court", Deadline: start.Add(10 * time.Second), Allowance: retry.NewAllowance(3)},
--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -22,6 +22,7 @@
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/retry"
+	"github.com/guavaford/guavaford/internal/route"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
@@ -135,67 +136,127 @@
 func (oneSlot) Admission(*registry.Target) admission.Config { return admission.Config{Slots: 1} }
 func (oneSlot) Draining(*registry.Target) bool              { return false }
 
-// TestCallQueuedAtATargetThatDrainsRunsAtAnother guards against a call of a target, which may queue for all the time that it has left, that
-// runs at a target long after that has begun to drain, while another has a free slot.
-func TestCallQueuedAtATargetThatDrainsRunsAtAnother(t *testing.T) {
-	release, held := make(chan struct{}), make(chan struct{}, 1)
+// pair is a node with two targets: a holds the one request that it runs until the test ends, and b answers at once.
+type pair struct {
+	gate       *gate.Gate
+	dispatcher *Dispatcher
+	metrics    *telemetry.Metrics
+	lines      *bytes.Buffer
+	a, b       *registry.Target
+}
+
+// newPair returns a pair and the answer of a call that is queued at a, with all of its time as the longest wait.
+func newPair(t *testing.T, idempotent bool) (*pair, <-chan string) {
+	release, held := make(chan struct{}), make(chan struct{}, 9)
 	slow := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		held <- struct{}{}
 		<-release
 	}))
-	defer slow.Close()
-	defer close(release)
-	quick := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "quick") }))
-	defer quick.Close()
+	t.Cleanup(slow.Close)
+	t.Cleanup(func() { close(release) })
+	quick := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+	t.Cleanup(quick.Close)
 	target := func(name string, s *httptest.Server) *registry.Target {
 		return &registry.Target{Name: name, Service: "s", Node: "n", Address: s.Listener.Addr().String(), Slots: 1, State: apiv1.TargetState_TARGET_STATE_READY}
 	}
-	a, b := target("a", slow), target("b", quick)
-	lines := &bytes.Buffer{}
-	log, err := telemetry.NewLogger(lines, "info")
+	p := &pair{metrics: telemetry.NewMetrics(), lines: &bytes.Buffer{}, a: target("a", slow), b: target("b", quick)}
+	log, err := telemetry.NewLogger(p.lines, "info")
 	require.NoError(t, err)
-	metrics := telemetry.NewMetrics()
-	g := gate.New(gate.Options{KeyChecker: anyKey{}, Policies: oneSlot{}, Handles: callctx.NewHandles(), Clock: clock.System{}, Metrics: metrics,
+	p.gate = gate.New(gate.Options{KeyChecker: anyKey{}, Policies: oneSlot{}, Handles: callctx.NewHandles(), Clock: clock.System{}, Metrics: p.metrics,
 		Log: telemetry.Discard(), Transport: &http.Transport{}})
-	g.SetTargets([]*registry.Target{a, b})
-	view := blackboard.NewSection(&registry.View{Services: map[string][]*registry.Target{"s": {a}}})
-	bd, err := board.New(view)
+	p.gate.SetTargets([]*registry.Target{p.a, p.b})
+	only := &registry.View{Services: map[string][]*registry.Target{"s": {p.a}}}
+	b, err := board.New(blackboard.NewSection(only))
 	require.NoError(t, err)
-	d := New(Options{Identity: peer.Identity{Node: "n", Incarnation: 1}, Gate: g, Directory: anyService{}, Board: bd, Clock: clock.System{}, Metrics: metrics,
-		Log: log, LogLimiter: telemetry.NewLogLimiter(100)})
-	call := func(depth int) (*Result, string) {
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		defer cancel()
-		result := d.Do(ctx, &Request{
-			Origin:  &callctx.Origin{RequestID: "the-call", Depth: depth, Deadline: time.Now().Add(10 * time.Second), Allowance: retry.NewAllowance(0)},
-			Service: "s", Method: http.MethodPost, Path: "/", MaxTargets: 1, MaxWait: 10 * time.Second, Body: BufferedBody([]byte("body")),
-		})
-		if result.Refusal() != nil {
-			return result, ""
-		}
-		data, err := io.ReadAll(result.Body)
-		require.NoError(t, err)
-		return result, string(data)
-	}
-	go call(0)
+	p.dispatcher = New(Options{Identity: peer.Identity{Node: "n", Incarnation: 1}, Gate: p.gate, Directory: anyService{}, Board: b, Clock: clock.System{},
+		Metrics: p.metrics, Log: log, LogLimiter: telemetry.NewLogLimiter(100)})
+	go p.call(t, 0, true)
 	<-held
 	done := make(chan string, 1)
-	go func() {
-		_, text := call(1)
-		done <- text
-	}()
-	require.Eventually(t, func() bool { return g.Loads()[0].Load.Queued+g.Loads()[1].Load.Queued == 1 }, 5*time.Second, time.Millisecond)
-	d.update(&registry.View{Services: map[string][]*registry.Target{"s": {a, b}}}, bd.Configuration.Load().Snapshot)
-	draining := *a
-	draining.State = apiv1.TargetState_TARGET_STATE_LEAVING
-	g.SetTargets([]*registry.Target{&draining, b})
+	go func() { done <- p.call(t, 1, idempotent) }()
+	require.Eventually(t, func() bool { return p.gate.Loads()[0].Load.Queued+p.gate.Loads()[1].Load.Queued == 1 }, 5*time.Second, time.Millisecond)
+	p.dispatcher.update(&registry.View{Services: map[string][]*registry.Target{"s": {p.a, p.b}}}, b.Configuration.Load().Snapshot)
+	return p, done
+}
+
+// call makes a call and returns the body of its answer, or its refusal.
+func (p *pair) call(t *testing.T, depth int, idempotent bool) string {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	result := p.dispatcher.Do(ctx, &Request{
+		Origin:  &callctx.Origin{RequestID: "the-call", Depth: depth, Deadline: time.Now().Add(10 * time.Second), Allowance: retry.NewAllowance(0)},
+		Service: "s", Method: http.MethodPost, Path: "/", MaxTargets: 1, MaxWait: 10 * time.Second, Idempotent: idempotent, Body: BufferedBody([]byte("body")),
+	})
+	if r := result.Refusal(); r != nil {
+		return r.Error()
+	}
+	data, err := io.ReadAll(result.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
+// requireMoved waits shortly for the answer of the call that was queued at a, which must be that of b, without another attempt or a repeat.
+func (p *pair) requireMoved(t *testing.T, done <-chan string) {
+	t.Helper()
 	select {
 	case text := <-done:
-		require.Equal(t, "quick", text)
+		require.Equal(t, "body", text)
 	case <-time.After(2 * time.Second):
-		require.Fail(t, "the call waits for the target that drains")
+		require.Fail(t, "the call waits for the target that takes no new work")
+	}
+	require.Contains(t, p.lines.String(), `msg="request moves to another target" request=the-call service=s target=a moves=1 attempts=0 counted=false`)
+	require.EqualValues(t, 1, p.metrics.MovedAttempts.Load())
+	require.Zero(t, p.metrics.ExtraAttempts.Load())
+}
+
+// TestCallQueuedAtATargetThatDrainsRunsAtAnother guards against a call of a target, which may queue for all the time that it has left, that
+// runs at a target long after that has begun to drain, while another has a free slot.
+func TestCallQueuedAtATargetThatDrainsRunsAtAnother(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		p, done := newPair(t, idempotent)
+		draining := *p.a
+		draining.State = apiv1.TargetState_TARGET_STATE_LEAVING
+		p.gate.SetTargets([]*registry.Target{&draining, p.b})
+		p.requireMoved(t, done)
+	}
+}
+
+// TestCallQueuedAtAnEjectedTargetRunsAtAnother guards against a call that waits for a target which its node passes over after failures.
+func TestCallQueuedAtAnEjectedTargetRunsAtAnother(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		p, done := newPair(t, idempotent)
+		for range 20 {
+			choice, refusal := p.dispatcher.service("s").picker.Pick(route.Query{Accept: func(t *registry.Target) bool { return t.Name == "a" }})
+			require.Nil(t, refusal)
+			choice.Done(route.Observation{Outcome: route.Unreachable})
+		}
+		p.requireMoved(t, done)
+		require.Contains(t, p.lines.String(), `msg="target ejected"`)
+	}
+}
+
+// TestEjectionOfATargetOfAnotherNodeWithdrawsWhatIsQueued guards against requests that wait at another node for a target that was ejected,
+// and against a withdrawal that ends a request which that node has sent already.
+func TestEjectionOfATargetOfAnotherNodeWithdrawsWhatIsQueued(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		withdrawn := make(chan struct{})
+		s := &fakeSender{}
+		s.fence = func() (*apiv1.FenceResponse, error) { close(withdrawn); return &apiv1.FenceResponse{}, nil }
+		s.call = func(attempt int) (*gate.Answer, error) {
+			if attempt == 1 {
+				s.eject()
+				<-withdrawn
+				if !started {
+					return refusalOf(outcome.NotRun(outcome.Cancelled, 0, "the call was fenced")), nil
+				}
+			}
+			return answerOf("done"), nil
+		}
+		result, _ := sendWith(t, s, bounded(1, false))
+		require.Nil(t, result.Refusal())
+		require.Equal(t, 1, result.Attempts)
+		require.Len(t, s.calls, map[bool]int{false: 2, true: 1}[started])
 	}
-	require.Contains(t, lines.String(), `msg="request moves to another target" request=the-call service=s target=a moves=1 attempts=0 counted=false`)
-	require.EqualValues(t, 1, metrics.MovedAttempts.Load())
-	require.Zero(t, metrics.ExtraAttempts.Load())
 }
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -1,12 +1,16 @@
 package gate
 
 import (
+	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/calltable"
 	"github.com/guavaford/guavaford/internal/outcome"
 )
 
@@ -57,6 +61,73 @@
 	g.opts.Log.Info("requests leave a target that drains", "target", e.target.Name, "service", e.target.Service, "queued", queued, "unsent", unsent)
 }
 
+// waitingCalls holds the idempotent calls that wait for admission, so that the nodes that sent them can withdraw them.
+type waitingCalls struct {
+	mu    sync.Mutex
+	calls map[calltable.Key]context.CancelCauseFunc
+}
+
+// add adds a call and returns a context that ends once the call is withdrawn.
+func (w *waitingCalls) add(ctx context.Context, k calltable.Key) context.Context {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.calls == nil {
+		w.calls = make(map[calltable.Key]context.CancelCauseFunc)
+	}
+	w.calls[k] = cancel
+	return ctx
+}
+
+// withdraw ends the wait of a call. It returns false if the call does not wait.
+func (w *waitingCalls) withdraw(k calltable.Key) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cancel, ok := w.calls[k]
+	if ok {
+		cancel(errWithdrawn)
+		delete(w.calls, k)
+	}
+	return ok
+}
+
+// remove removes a call that no longer waits. It returns false if the call was withdrawn.
+func (w *waitingCalls) remove(k calltable.Key) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cancel, ok := w.calls[k]
+	if ok {
+		cancel(nil)
+		delete(w.calls, k)
+	}
+	return ok
+}
+
+// admitIdempotent is like admit for an idempotent call, which the node that sent it may withdraw while it waits.
+func (g *Gate) admitIdempotent(ctx context.Context, e *targetEntry, h *apiv1.CallHeader) (admitted, *outcome.Refusal) {
+	k := calltable.KeyOf(h.GetKey())
+	a, refusal := g.admit(g.waiting.add(ctx, k), e, h)
+	if g.waiting.remove(k) {
+		return a, refusal
+	}
+	if refusal == nil {
+		a.abandon(e)
+	}
+	return admitted{}, leavingRefusal("the node that sent the request withdrew it while it was queued")
+}
+
+// find returns the execution of a call, or nil.
+func (s *runState) find(k calltable.Key) *execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for x := range s.running {
+		if calltable.KeyOf(x.header.GetKey()) == k {
+			return x
+		}
+	}
+	return nil
+}
+
 // withdrawUnsent ends the executions whose requests have not been sent, and returns their number.
 func (s *runState) withdrawUnsent() int {
 	s.mu.Lock()
@@ -104,5 +175,5 @@
 	if x.sending.value.Load() != withdrawn {
 		return nil
 	}
-	return leavingRefusal("the target takes no new work; the request was admitted there but not sent")
+	return leavingRefusal("the target takes no new work, or the request was withdrawn; it was admitted but not sent")
 }
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -222,3 +222,40 @@
 	require.Equal(t, outcome.RanNo, refusal.Ran)
 	require.Zero(t, h.arrivals.Load())
 }
+
+// TestWithdrawnCallIsNotSent guards against a call that its node has withdrawn and that reaches the target all the same, and against a
+// withdrawal that ends a call which the target runs.
+func TestWithdrawnCallIsNotSent(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		h := newHeldTarget(t, 1)
+		running, queued := header(idempotent), header(idempotent)
+		queued.MaxWaitNs = queued.TimeoutNs
+		first := h.start(t, running)
+		require.Eventually(t, func() bool { return h.arrivals.Load() == 1 }, 5*time.Second, time.Millisecond)
+		second := h.start(t, queued)
+		require.Eventually(t, func() bool { return h.gate.Loads()[0].Load.Queued == 1 }, 5*time.Second, time.Millisecond)
+		require.Equal(t, apiv1.CallState_CALL_STATE_RUNNING, h.gate.Fence(running.Key))
+		require.Equal(t, apiv1.CallState_CALL_STATE_FENCED, h.gate.Fence(queued.Key))
+		require.Equal(t, outcome.RanNo, (<-second).Refusal().Ran)
+		h.release()
+		read(t, <-first)
+		require.EqualValues(t, 1, h.arrivals.Load())
+		require.Zero(t, h.gate.Loads()[0].Load.InFlight)
+	}
+}
+
+// TestAdmittedCallThatIsWithdrawnIsNotSent is like TestWithdrawnCallIsNotSent for a call that waits for a connection.
+func TestAdmittedCallThatIsWithdrawnIsNotSent(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		h, dialling, call := newHeldTarget(t, 1), make(chan struct{}, 1), header(idempotent)
+		h.gate.opts.Transport = &upstream.Transport{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			dialling <- struct{}{}
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}}
+		answers := h.start(t, call)
+		<-dialling
+		require.Equal(t, apiv1.CallState_CALL_STATE_FENCED, h.gate.Fence(call.Key))
+		requireLeft(t, answers)
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -94,6 +94,8 @@
 type Gate struct {
 	opts  Options
 	calls *calltable.Table
+	// waiting holds the idempotent calls that are not admitted yet; calls knows the others.
+	waiting waitingCalls
 
 	mu      sync.RWMutex
 	targets map[string]*targetEntry
@@ -283,10 +285,35 @@
 	return g.runNonIdempotent(ctx, e, h, body)
 }
 
-// Fence prevents a call from being started, unless it has been already, and returns its state.
+// Fence prevents a call from being started, unless it has been already, and returns its state. A call that was admitted but not sent to its
+// target has not been started.
 func (g *Gate) Fence(key *apiv1.CallKey) apiv1.CallState {
 	g.opts.Metrics.Fences.Add(1)
-	return g.calls.Fence(calltable.KeyOf(key))
+	k := calltable.KeyOf(key)
+	if g.waiting.withdraw(k) {
+		return apiv1.CallState_CALL_STATE_FENCED
+	}
+	if x := g.findExecution(k); x != nil {
+		switch {
+		case x.withdraw():
+			return apiv1.CallState_CALL_STATE_FENCED
+		case x.header.GetIdempotent():
+			return apiv1.CallState_CALL_STATE_RUNNING
+		}
+	}
+	return g.calls.Fence(k)
+}
+
+// findExecution returns the running call with a key, or nil.
+func (g *Gate) findExecution(k calltable.Key) *execution {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for _, e := range g.targets {
+		if x := e.runs.find(k); x != nil {
+			return x
+		}
+	}
+	return nil
 }
 
 // Attach waits for the answer of a non-idempotent call that was sent before, and returns it.
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -204,7 +204,7 @@
 // runIdempotent runs an idempotent call, and ends it when its caller is gone.
 func (g *Gate) runIdempotent(ctx context.Context, e *targetEntry, h *apiv1.CallHeader, body io.Reader) *Answer {
 	ctx, cancel := g.deadlineContext(ctx, h)
-	permission, refusal := g.admit(ctx, e, h)
+	permission, refusal := g.admitIdempotent(ctx, e, h)
 	if refusal != nil {
 		cancel()
 		return refuse(h, refusal, g.load(e, h))
