--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -22,7 +22,9 @@
 	dispatcher *Dispatcher
 	service    *service
 	request    *Request
-	attempts   int
+	// attempts counts the attempts, moves those that were sent on to another target since theirs drained; these are not among attempts.
+	attempts int
+	moves    int
 	// backoffs counts the waits before another attempt.
 	backoffs int
 	// tried lists the targets of earlier attempts.
@@ -34,6 +36,8 @@
 	// suspect is what a gate has said of the request after its target crashed, and trialTarget the only target at which it may run then.
 	suspect     *apiv1.QuarantineRecord
 	trialTarget string
+	// withdrawn is set if the last attempt was withdrawn from its target, which may have come too late.
+	withdrawn bool
 	// redirects counts the times that a gate named a trialTarget.
 	redirects int
 }
@@ -54,6 +58,9 @@
 		}
 		answer := c.attempt(ctx, choice)
 		refusal = answer.Refusal()
+		if c.moveOn(ctx, choice, refusal) {
+			continue
+		}
 		if c.redirect(refusal) {
 			last = answer
 			continue
@@ -166,7 +173,9 @@
 		d.o.Metrics.ExtraAttempts.Add(1)
 	}
 	start := d.o.Clock.Now()
+	f := c.service.flights.begin(target, header)
 	answer := c.send(ctx, target, header)
+	c.withdrawn = c.service.flights.end(f)
 	now := d.o.Clock.Now()
 	choice.Done(observation(answer, now.Sub(start)))
 	c.recordLoads(now, target, answer.Header.GetLoad().GetPressures())
@@ -224,7 +233,7 @@
 		Path:          r.Path,
 		Headers:       r.Headers,
 		ContentLength: r.Body.Length,
-		Attempt:       uint32(c.attempts),
+		Attempt:       uint32(c.attempts + c.moves),
 		Route:         origin.Route,
 		Host:          r.Host,
 		CallerService: r.CallerService,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,6 +13,9 @@
 // A target may say in its responses how many requests per second it accepts, and that it leaves.
 // The gate keeps to such notices for the rest of that run of the target.
 //
+// When a target drains, is removed or is replaced, or the node stops, the calls that have not been sent to it are refused as not run
+// at once, so that they go to other targets: those that are queued or wait for a trial, and admitted ones that still wait for a connection.
+//
 // When a target crashes, the requests that it ran become suspects: they run on trial only, and one that crashes
 // targets is refused (see quarantine).
 //
@@ -91,6 +94,8 @@
 type Gate struct {
 	opts  Options
 	calls *calltable.Table
+	// waiting holds the idempotent calls that are not admitted yet; calls knows the others.
+	waiting waitingCalls
 
 	mu      sync.RWMutex
 	targets map[string]*targetEntry
@@ -206,8 +211,9 @@
 		next[t.Name] = g.updatedEntry(t)
 	}
 	for name, e := range g.targets {
-		if _, ok := next[name]; !ok {
-			e.admission.SetDraining(true)
+		if kept, ok := next[name]; !ok || kept.admission != e.admission {
+			// Requests that wait here would run at a process that is gone, or beside those that the next one admits.
+			g.setDraining(e, true)
 		}
 	}
 	g.targets = next
@@ -225,17 +231,17 @@
 	}
 	e.target = t
 	leaving := t.State == apiv1.TargetState_TARGET_STATE_LEAVING || g.opts.Policies.Draining(t)
-	e.setDraining(leaving || g.closing)
+	g.setDraining(e, leaving || g.closing)
 	return e
 }
 
-// Close makes the gate refuse new calls for every target. Calls that run are not stopped.
+// Close makes the gate refuse new and queued calls for every target. Calls that run are not stopped.
 func (g *Gate) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.closing = true
 	for _, e := range g.targets {
-		e.admission.SetDraining(true)
+		g.setDraining(e, true)
 	}
 }
 
@@ -271,7 +277,7 @@
 func (g *Gate) Do(ctx context.Context, h *apiv1.CallHeader, body io.Reader) *Answer {
 	e, ok := g.find(h.GetTarget())
 	if !ok || e.target.Service != h.GetService() {
-		return refuse(h, outcome.NotRun(outcome.TargetLeaving, 0, "the target is not on this host"), nil)
+		return refuse(h, leavingRefusal("the target is not on this host"), nil)
 	}
 	if h.GetIdempotent() {
 		return g.runIdempotent(ctx, e, h, body)
@@ -279,10 +285,35 @@
 	return g.runNonIdempotent(ctx, e, h, body)
 }
 
-// Fence prevents a call from being started, unless it has been already, and returns its state.
+// Fence prevents a call from being started, unless it has been already, and returns its state. A call that was admitted but not sent to its
+// target has not been started.
 func (g *Gate) Fence(key *apiv1.CallKey) apiv1.CallState {
 	g.opts.Metrics.Fences.Add(1)
-	return g.calls.Fence(calltable.KeyOf(key))
+	k := calltable.KeyOf(key)
+	if g.waiting.withdraw(k) {
+		return apiv1.CallState_CALL_STATE_FENCED
+	}
+	if x := g.findExecution(k); x != nil {
+		switch {
+		case x.withdraw():
+			return apiv1.CallState_CALL_STATE_FENCED
+		case x.header.GetIdempotent():
+			return apiv1.CallState_CALL_STATE_RUNNING
+		}
+	}
+	return g.calls.Fence(k)
+}
+
+// findExecution returns the running call with a key, or nil.
+func (g *Gate) findExecution(k calltable.Key) *execution {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for _, e := range g.targets {
+		if x := e.runs.find(k); x != nil {
+			return x
+		}
+	}
+	return nil
 }
 
 // Attach waits for the answer of a non-idempotent call that was sent before, and returns it.
