Find another replica in time when a minority is lost

Cause: replicas were asked one after another, each with a limit above that of the whole heartbeat. 30 s after its start a node tries to return to its own data centre; the dial to a frozen replica used up the heartbeat, and the failure was not recorded, as the context had ended. A replica that is cut off from the others held a node for as long as it may, too.

Change: the next replica is asked 100 ms after the last one, beside it. Only the replica that answered last may hold a heartbeat, which fails 0.5 s after that replica was last heard. A replica releases held heartbeats once its last confirmation by a quorum is 550 ms old. A node that lacks committed changes gets them without a confirmation after 150 ms. Late replicas are recorded as failed also when the caller gives up. Changes, run records and the status go to the next replica after 0.5 s, or a quarter of the time that is left.

The test cluster can give its hosts data centres.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -11,7 +11,6 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
-	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/peer"
 )
 
@@ -27,6 +26,9 @@
 	maxRetryDelay = 50 * time.Millisecond
 	// localRetryInterval is how often a client tries to return to a replica in its own data centre.
 	localRetryInterval = 30 * time.Second
+	// maxReturnTime is how long a client goes on trying one replica in its own data centre first while its calls are
+	// cancelled before the replica has answered.
+	maxReturnTime = 500 * time.Millisecond
 )
 
 // ErrNoReplica is returned when no replica answered.
@@ -46,11 +48,16 @@
 	o     ClientOptions
 	seeds []string
 
-	mu             sync.Mutex
-	rnd            *rand.Rand
-	replicas       []*apiv1.ReplicaInfo
-	owners         []*apiv1.ShardOwner
-	current        string
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	replicas []*apiv1.ReplicaInfo
+	owners   []*apiv1.ShardOwner
+	// current is the replica that answered last; empty after it has failed.
+	current string
+	// returning is the replica in the own data centre that is tried before current, until it has answered or failed,
+	// or returnUntil is over.
+	returning      string
+	returnUntil    time.Time
 	avoidUntil     map[string]time.Time
 	nextLocalCheck time.Time
 	// localAvailable is set while a replica in the own data centre is known to have its state
@@ -100,8 +107,8 @@
 	c.localAvailable = available
 }
 
-// candidates lists the addresses to try: the current one, those in the own data centre, the others,
-// and last the replicas that failed recently. Each part is in random order.
+// candidates lists the addresses to try: a replica to return to, if it is time, the current one, those in the
+// own data centre, the others, and last the replicas that failed recently. Each part is in random order.
 func (c *Client) candidates(now time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -119,14 +126,30 @@
 	if c.shouldTryLocal(now) && len(local) > 0 {
 		c.nextLocalCheck = now.Add(localRetryInterval)
 		if !slices.Contains(local, c.current) {
-			c.current = local[0]
+			c.returning, c.returnUntil = local[0], now.Add(maxReturnTime)
 		}
 	}
-	list := slices.Concat(local, remote, failed)
-	if i := slices.Index(list, c.current); i > 0 {
-		list = slices.Concat([]string{c.current}, list[:i], list[i+1:])
+	if now.After(c.returnUntil) {
+		c.returning = ""
 	}
-	return list
+	list := moveToFront(slices.Concat(local, remote, failed), c.current)
+	return moveToFront(list, c.returning)
+}
+
+// moveToFront moves an address to the front of a list that contains it.
+func moveToFront(list []string, address string) []string {
+	i := slices.Index(list, address)
+	if i <= 0 {
+		return list
+	}
+	return slices.Concat([]string{address}, list[:i], list[i+1:])
+}
+
+// answeredLast reports whether a replica is the one that answered last.
+func (c *Client) answeredLast(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return address == c.current
 }
 
 // shouldTryLocal reports whether it is time to switch to a replica in the own data centre: at
@@ -159,6 +182,9 @@
 func (c *Client) recordAttempt(address string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.returning == address {
+		c.returning = ""
+	}
 	if ok {
 		c.current = address
 		delete(c.avoidUntil, address)
@@ -176,72 +202,15 @@
 	return time.Duration(c.rnd.Int64N(int64(maxRetryDelay)))
 }
 
-// callResult is the result of callReplicas.
-type callResult[Resp proto.Message] struct {
-	response Resp
-	// accepted is false if no replica's response was accepted; response is then the last one.
-	accepted bool
-	// uncertain is true if an attempt without a response may have taken effect.
-	uncertain bool
-}
-
-// clientCall is a request with the timeout of each attempt and the condition for ending the
-// attempts.
-type clientCall[Resp proto.Message] struct {
-	method  apiv1.Method
-	request proto.Message
-	timeout time.Duration
-	accept  func(Resp) bool
-}
-
-// callReplicas calls the replicas in turn until a response is accepted. It returns an error if none
-// answered.
-func callReplicas[T any, Resp interface {
-	*T
-	proto.Message
-}](ctx context.Context, c *Client, call clientCall[Resp]) (callResult[Resp], error) {
-	var result callResult[Resp]
-	answered := false
-	cause := ErrNoReplica
-	for i, address := range c.candidates(time.Now()) {
-		if i > 0 && !clock.Sleep(ctx, c.retryDelay()) {
-			break
-		}
-		response := Resp(new(T))
-		attemptCtx, cancel := context.WithTimeout(ctx, call.timeout)
-		err := peer.Unary(attemptCtx, c.pool, address, call.method, call.request, response)
-		cancel()
-		if err != nil {
-			result.uncertain = result.uncertain || !notSent(err)
-			cause = err
-			if ctx.Err() != nil {
-				break
-			}
-			c.recordAttempt(address, false)
-			continue
-		}
-		answered = true
-		result.response = response
-		result.accepted = call.accept(response)
-		c.recordAttempt(address, result.accepted)
-		if result.accepted {
-			return result, nil
-		}
-	}
-	if answered {
-		return result, nil
-	}
-	return result, errors.Wrap(cause, "call control replicas")
-}
-
 // Propose submits a change. Trying several replicas is safe because the change id makes the request
 // idempotent.
 func (c *Client) Propose(ctx context.Context, r *apiv1.ProposeRequest) (*apiv1.ProposeResponse, error) {
 	unknown := false
 	result, err := callReplicas(ctx, c, clientCall[*apiv1.ProposeResponse]{
-		method:  apiv1.Method_METHOD_PROPOSE,
-		request: r,
-		timeout: proposeTimeout + attemptTimeout,
+		method:     apiv1.Method_METHOD_PROPOSE,
+		request:    r,
+		timeout:    proposeTimeout + attemptTimeout,
+		hedgeDelay: requestHedgeDelay,
 		accept: func(p *apiv1.ProposeResponse) bool {
 			unknown = unknown || p.GetOutcome().GetResult() == apiv1.ChangeResult_CHANGE_RESULT_UNKNOWN
 			return isFinal(p)
@@ -265,14 +234,26 @@
 	}
 }
 
-// Sync sends a heartbeat. A replica whose revision no quorum confirms counts as failed.
+// Sync sends a heartbeat. A replica whose revision no quorum confirms counts as failed, unless it has changes that the
+// node lacks; its response then has an error beside them. Only the replica that answered
+// last may hold its response back; from another one, the client wants to know first that it answers.
 func (c *Client) Sync(ctx context.Context, r *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
-	result, err := callReplicas(ctx, c, clientCall[*apiv1.SyncResponse]{
-		method:  apiv1.Method_METHOD_SYNC,
-		request: r,
-		timeout: time.Duration(r.WaitNs) + attemptTimeout,
-		accept:  func(s *apiv1.SyncResponse) bool { return s.Vouched },
-	})
+	call := clientCall[*apiv1.SyncResponse]{
+		method:     apiv1.Method_METHOD_SYNC,
+		request:    r,
+		timeout:    time.Duration(r.WaitNs) + attemptTimeout,
+		hedgeDelay: syncHedgeDelay,
+		accept:     func(s *apiv1.SyncResponse) bool { return s.Vouched || hasNewConfiguration(r, s) },
+	}
+	if r.WaitNs > 0 {
+		prompt := proto.CloneOf(r)
+		prompt.WaitNs = 0
+		call.request, call.held, call.holdTime = prompt, r, time.Duration(r.WaitNs)
+	}
+	if r.PlacementVersion == 0 {
+		call.hedgeDelay = firstSyncHedgeDelay
+	}
+	result, err := callReplicas(ctx, c, call)
 	if err == nil {
 		unpackOwners(result.response)
 		c.UpdatePlacement(result.response.Placement)
@@ -281,6 +262,11 @@
 	return result.response, err
 }
 
+// hasNewConfiguration reports whether a response brings a node that is in touch changes of its configuration.
+func hasNewConfiguration(r *apiv1.SyncRequest, s *apiv1.SyncResponse) bool {
+	return r.Revision != 0 && r.PlacementVersion != 0 && (len(s.Deltas) > 0 || s.Snapshot != nil)
+}
+
 // Lease requests tokens from the owner of the shard according to the latest placement.
 func (c *Client) Lease(ctx context.Context, r *apiv1.LeaseRequest) (*apiv1.LeaseResponse, error) {
 	address := c.ownerOf(r.Shard)
@@ -309,9 +295,10 @@
 // attempt of one call. It returns RUN_STATE_UNAVAILABLE only if no attempt can have taken effect.
 func (c *Client) UpdateRunRecord(ctx context.Context, r *apiv1.RunRequest) (*apiv1.RunResponse, error) {
 	result, err := callReplicas(ctx, c, clientCall[*apiv1.RunResponse]{
-		method:  apiv1.Method_METHOD_RUN,
-		request: r,
-		timeout: runTimeout,
+		method:     apiv1.Method_METHOD_RUN,
+		request:    r,
+		timeout:    runTimeout,
+		hedgeDelay: requestHedgeDelay,
 		accept: func(p *apiv1.RunResponse) bool {
 			return p.GetRecord().GetState() != apiv1.RunState_RUN_STATE_UNAVAILABLE
 		},
@@ -325,10 +312,11 @@
 // Status describes the control plane as the first replica that answers sees it.
 func (c *Client) Status(ctx context.Context) (*apiv1.ControlStatus, error) {
 	result, err := callReplicas(ctx, c, clientCall[*apiv1.ControlStatus]{
-		method:  apiv1.Method_METHOD_STATUS,
-		request: &apiv1.StatusRequest{},
-		timeout: attemptTimeout,
-		accept:  func(*apiv1.ControlStatus) bool { return true },
+		method:     apiv1.Method_METHOD_STATUS,
+		request:    &apiv1.StatusRequest{},
+		timeout:    attemptTimeout,
+		hedgeDelay: requestHedgeDelay,
+		accept:     func(*apiv1.ControlStatus) bool { return true },
 	})
 	return result.response, err
 }
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -29,6 +29,15 @@
 	nextIncarnation uint64
 	// voters is the fixed number of voters; 0 lets every replica vote.
 	voters int
+	// centres maps hosts to data centres; nil gives each host its own.
+	centres func(name string) string
+}
+
+func (c *cluster) dataCentre(name string) string {
+	if c.centres == nil {
+		return "dc-" + name
+	}
+	return c.centres(name)
 }
 
 // testHost is one host: its disk outlives its processes.
@@ -51,8 +60,13 @@
 
 // runWithVoters is runWithCluster with a fixed number of voters.
 func runWithVoters(t *testing.T, n, voters int, fn func(c *cluster)) {
+	runWithCentres(t, n, voters, nil, fn)
+}
+
+// runWithCentres is runWithVoters with the data centre of each host.
+func runWithCentres(t *testing.T, n, voters int, centres func(name string) string, fn func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, net: memnet.New(1), hosts: map[string]*testHost{}, origin: time.Now(), voters: voters}
+		c := &cluster{t: t, net: memnet.New(1), hosts: map[string]*testHost{}, origin: time.Now(), voters: voters, centres: centres}
 		c.net.SetLatency(func(string, string) memnet.Latency {
 			return memnet.Latency{Delay: time.Millisecond, Jitter: time.Millisecond}
 		})
@@ -109,7 +123,7 @@
 		FS:              h.fs,
 		Identity:        id,
 		Address:         name,
-		DataCentre:      "dc-" + name,
+		DataCentre:      c.dataCentre(name),
 		InitialReplicas: initial,
 		Seeds:           h.seeds,
 		Voters:          c.voters,
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,14 +95,23 @@
 	return owner.Epoch, since, ok
 }
 
-// renewOwnership renews the confirmation by a quorum while this process owns a shard.
+// confirmationAge returns the time since the start of the last quorum round that confirmed the state of this replica; 0
+// before the first one.
+func (o *ownership) confirmationAge() time.Duration {
+	state := o.state.Load()
+	if state == nil {
+		return 0
+	}
+	return o.r.o.Clock.Now().Sub(state.started)
+}
+
+// renewOwnership renews the confirmation by a quorum while this process owns a shard or, at longer intervals, while it
+// holds back responses to heartbeats.
 func (r *Replica) renewOwnership(ctx context.Context) {
 	for clock.Sleep(ctx, ownershipRenewInterval) {
-		for _, owner := range r.store.PublishedState().Load().Owners {
-			if r.ownership.isSelf(owner) {
-				r.confirmer.wait(ctx)
-				break
-			}
+		held := r.heldPolls.any() && r.ownership.confirmationAge() >= heldRenewAge
+		if held || slices.ContainsFunc(r.store.PublishedState().Load().Owners, r.ownership.isSelf) {
+			r.confirmer.wait(ctx)
 		}
 	}
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -82,6 +82,7 @@
 	proposing chan struct{}
 	confirmer *confirmer
 	ownership *ownership
+	heldPolls *heldPolls
 	senders   *senders
 	stopping  atomic.Bool
 	// seeds are addresses of replicas of a running cluster to join.
@@ -137,6 +138,7 @@
 	r.engine.writeSnapshot = r.writeSnapshot
 	r.confirmer = newConfirmer(r)
 	r.ownership = newOwnership(r)
+	r.heldPolls = newHeldPolls()
 	r.owner = rate.NewOwner(r.ownership, newLimits(r.store), o.Clock, o.Rate)
 	r.senders = newSenders(r)
 	if log.Identity().Cluster != 0 {
@@ -196,6 +198,7 @@
 	r.log.OnFull = func(err error) bool { return r.awaitRoom(ctx, err) }
 	r.startWorker(func() { r.confirmer.run(ctx) })
 	r.startWorker(func() { r.renewOwnership(ctx) })
+	r.startWorker(func() { r.watchHeldPolls(ctx) })
 	r.startWorker(func() { r.maintainMembership(ctx) })
 	r.startWorker(func() { r.exchangeRegistry(ctx) })
 	err := r.loop(ctx)
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -14,8 +14,11 @@
 // Limits for the heartbeats of nodes.
 const (
 	maxSyncWait = 5 * time.Second
-	// confirmTimeout bounds the wait for a quorum.
+	// confirmTimeout bounds the wait for a quorum of a request that is answered at once.
 	confirmTimeout = 800 * time.Millisecond
+	// unconfirmedUpdateDelay is how long changes that a node lacks wait for the confirmation. After the loss of a
+	// leader, a new one may take a second to be elected. It is longer than a quorum round.
+	unconfirmedUpdateDelay = 150 * time.Millisecond
 	// targetUpdateDelay is how long updates of targets are collected before a response. Targets that
 	// are announced at the same time, as when a fleet starts, then cost a node one response and not
 	// one each. The delay is small against a drain, which has seconds to become known everywhere.
@@ -30,8 +33,8 @@
 
 // Sync records what a node announces, has a quorum confirm the revision, and returns the updates that
 // the node lacks. Without updates it holds the response for up to the time that the node allows (long
-// polling). The confirmed revision is then older than the response by that time; the node counts its
-// age from when it sent the request.
+// polling), as long as a quorum goes on confirming the state of this replica. The confirmed revision is
+// then older than the response by that time; the node counts its age from when it sent the request.
 func (r *Replica) Sync(ctx context.Context, request *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
 	wait := min(time.Duration(request.WaitNs), maxSyncWait)
 	deadline := time.NewTimer(wait)
@@ -39,11 +42,9 @@
 	response := &apiv1.SyncResponse{
 		WantAnnounced: r.relay.HandleHeartbeat(r.o.Clock.Now(), request),
 	}
-	confirmation := r.confirm(ctx)
+	confirmation := r.confirmWithin(ctx, r.confirmWait(request))
 	if confirmation == nil {
-		response.Error = ErrNoQuorum.Error()
-		r.fillUpdates(request, response)
-		return response, ctx.Err()
+		return r.unconfirmedResponse(request, response), ctx.Err()
 	}
 	response.Vouched = true
 	response.VouchedRevision = confirmation.head.Revision
@@ -53,6 +54,8 @@
 		response.Placement = r.placement()
 		return response, nil
 	}
+	unconfirmed := r.heldPolls.begin()
+	defer r.heldPolls.end()
 	for {
 		_, storeChanged := r.store.PublishedState().Watch()
 		relayChanged := r.relay.Changed()
@@ -65,6 +68,8 @@
 			clock.Sleep(ctx, targetUpdateDelay)
 		case <-deadline.C:
 			return response, nil
+		case <-unconfirmed:
+			return r.unconfirmedResponse(request, response), nil
 		case <-r.stopped:
 			return response, nil
 		case <-ctx.Done():
@@ -73,6 +78,29 @@
 	}
 }
 
+// confirmWait returns how long the request waits for a quorum. A node that lacks changes gets them soon without a
+// confirmation: they are committed. It goes on waiting for the confirmation with its next request.
+func (r *Replica) confirmWait(request *apiv1.SyncRequest) time.Duration {
+	inTouch := request.PlacementVersion != 0 && request.Revision != 0
+	switch {
+	case request.WaitNs > 0:
+		// A replica that was cut off a while ago must not keep a node for maxHeldAge once more.
+		return max(maxHeldAge-r.ownership.confirmationAge(), minHeldConfirmWait)
+	case inTouch && request.Revision < r.store.PublishedState().Load().Revision:
+		return unconfirmedUpdateDelay
+	default:
+		return confirmTimeout
+	}
+}
+
+// unconfirmedResponse completes the response of a replica whose state no quorum confirms: the node must ask another one.
+func (r *Replica) unconfirmedResponse(request *apiv1.SyncRequest, response *apiv1.SyncResponse) *apiv1.SyncResponse {
+	response.Vouched, response.VouchedRevision, response.Nearer = false, 0, false
+	response.Error = ErrNoQuorum.Error()
+	r.fillUpdates(request, response)
+	return response
+}
+
 // ErrLaterProcess is returned to a process of a node when a later one is known.
 var ErrLaterProcess = errors.New("a later process of the node is known")
 
@@ -121,7 +149,12 @@
 // confirmTimeout, so that nodes get their response as soon as a new leader is elected. It returns nil
 // if no quorum confirmed in time.
 func (r *Replica) confirm(ctx context.Context) *confirmation {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	return r.confirmWithin(ctx, confirmTimeout)
+}
+
+// confirmWithin is confirm with another time limit.
+func (r *Replica) confirmWithin(ctx context.Context, limit time.Duration) *confirmation {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
 		confirmation := r.confirmer.wait(ctx)
--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -132,6 +132,10 @@
 		return err
 	}
 	if resp.GetError() != "" {
+		// Changes are committed also where no quorum confirms that there are no later ones.
+		if err := l.applyConfiguration(resp); err != nil {
+			return err
+		}
 		return errors.New(resp.GetError())
 	}
 	return l.apply(sentAt, req, resp)
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -36,7 +36,7 @@
 // header of the answer. The context also applies to reading the answer's body. The
 // error is a *CallError; body may be nil.
 func (p *Pool) Call(ctx context.Context, address string, h *apiv1.CallHeader, body io.Reader) (*Answer, error) {
-	x, err := p.openExchange(ctx, address, apiv1.Method_METHOD_CALL)
+	x, err := p.openExchange(ctx, address, apiv1.Method_METHOD_CALL, maxConnectWait)
 	if err != nil {
 		return nil, err
 	}
@@ -47,7 +47,7 @@
 		return nil, failure
 	}
 	if h.GetIdempotent() && x.requestSent.Load() {
-		x.watchdog = startWatchdog(x)
+		x.watchdog = startWatchdog(x, watchdogQuietTime, watchdogQuietTime)
 	}
 	return x.receiveAnswer(h.Key)
 }
@@ -55,7 +55,7 @@
 // Attach asks the node at address for the answer to a call that is running or has
 // finished there. The error is a *CallError.
 func (p *Pool) Attach(ctx context.Context, address string, key *apiv1.CallKey) (*Answer, error) {
-	x, err := p.openExchange(ctx, address, apiv1.Method_METHOD_ATTACH)
+	x, err := p.openExchange(ctx, address, apiv1.Method_METHOD_ATTACH, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -32,12 +32,8 @@
 }
 
 // openExchange reserves a connection and opens a stream on it. If it fails, nothing
-// was sent.
-func (p *Pool) openExchange(ctx context.Context, address string, m apiv1.Method) (*exchange, error) {
-	maxWait := time.Duration(0)
-	if m == apiv1.Method_METHOD_CALL {
-		maxWait = maxConnectWait
-	}
+// was sent. A maxWait above 0 limits the wait for a new connection.
+func (p *Pool) openExchange(ctx context.Context, address string, m apiv1.Method, maxWait time.Duration) (*exchange, error) {
 	c, err := p.reserve(ctx, address, maxWait)
 	if err != nil {
 		return nil, &CallError{Address: address, Err: err}
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -27,6 +27,9 @@
 	watchdogQuietTime       = 150 * time.Millisecond
 	watchdogInterval        = 100 * time.Millisecond
 	watchdogMissedIntervals = 2
+	// unaryQuietTime is the same for unary requests that may be repeated at another peer. It is longer than
+	// pingInterval, so that a request that waits long for its answer costs no pings beside those of the connection.
+	unaryQuietTime = pingInterval + 50*time.Millisecond
 	// maxConnectWait limits how long a call waits for a new connection before it fails and can go to another host: two
 	// round trips between regions. The connection attempt itself continues, for dialTimeout at most.
 	maxConnectWait = 300 * time.Millisecond
--- a/internal/peer/unary.go
+++ b/internal/peer/unary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -12,21 +13,41 @@
 // Unary sends req to the handler of method m at address and waits for resp.
 // The error is a *CallError, which wraps a *RemoteError when the handler failed.
 func Unary(ctx context.Context, p *Pool, address string, m apiv1.Method, req, resp proto.Message) error {
+	return sendUnary(ctx, p, address, m, req, resp, false)
+}
+
+func sendUnary(ctx context.Context, p *Pool, address string, m apiv1.Method, req, resp proto.Message, responsive bool) error {
 	if size := proto.Size(req); size > maxMessageBytes {
 		return &CallError{Address: address, Err: errors.Errorf("message has %d bytes; at most %d are sent", size, maxMessageBytes)}
 	}
 	if p.intercept != nil {
-		return p.intercept(ctx, address, m, func() error { return p.unary(ctx, address, m, req, resp) })
+		return p.intercept(ctx, address, m, func() error { return p.unary(ctx, address, m, req, resp, responsive) })
 	}
-	return p.unary(ctx, address, m, req, resp)
+	return p.unary(ctx, address, m, req, resp, responsive)
+}
+
+// UnaryResponsive is Unary for a request that may be repeated at another peer. However long the peer may take for its
+// answer, the request fails within half a second once the peer doesn't answer pings, and when a new connection has not
+// opened after maxConnectWait. The connection itself is judged as for all other exchanges.
+func UnaryResponsive(ctx context.Context, p *Pool, address string, m apiv1.Method, req, resp proto.Message) error {
+	return sendUnary(ctx, p, address, m, req, resp, true)
 }
 
-func (p *Pool) unary(ctx context.Context, address string, m apiv1.Method, req, resp proto.Message) error {
-	x, err := p.openExchange(ctx, address, m)
+// unary runs one unary exchange. responsive demands that the peer stays responsive, as UnaryResponsive says.
+func (p *Pool) unary(ctx context.Context, address string, m apiv1.Method, req, resp proto.Message, responsive bool) error {
+	maxWait := time.Duration(0)
+	if responsive {
+		maxWait = maxConnectWait
+	}
+	x, err := p.openExchange(ctx, address, m, maxWait)
 	if err != nil {
 		return err
 	}
+	if responsive {
+		x.watchdog = startWatchdog(x, unaryQuietTime, max(unaryQuietTime-x.conn.sinceReceived(), 0))
+	}
 	err = x.unary(req, resp)
+	x.watchdog.stop(err == nil)
 	var remote *RemoteError
 	x.close(err == nil || errors.As(err, &remote))
 	if err != nil {
@@ -50,7 +71,10 @@
 	}
 	x.requestSent.Store(true)
 	var status apiv1.RpcStatus
-	if err := readFrame(x.reader, &status, maxHeaderBytes); err != nil {
+	err := readFrame(x.reader, &status, maxHeaderBytes)
+	// A large response may delay the pongs of its connection, so the watchdog ends with the first frame.
+	x.watchdog.stop(err == nil)
+	if err != nil {
 		return errors.Wrap(err, "receive status")
 	}
 	x.reuse = status.Reuse
--- a/internal/peer/unheard.go
+++ b/internal/peer/unheard.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// pingWatchdog fails an idempotent call when its connection stops carrying bytes. The connection's monitor detects
+// pingWatchdog fails a request that may be repeated elsewhere when its connection stops carrying bytes. The connection's monitor detects
 // that as well, but later than many calls can wait: since it closes the connection with all its exchanges, it waits
 // for more missed pongs.
 //
@@ -13,6 +13,8 @@
 // count as silence.
 type pingWatchdog struct {
 	exchange *exchange
+	// quietTime is how long nothing may come from the peer before it is pinged.
+	quietTime time.Duration
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -22,12 +24,13 @@
 	missed  int
 }
 
-// startWatchdog starts the watchdog of an exchange that waits for its answer. The caller must call stop.
-func startWatchdog(x *exchange) *pingWatchdog {
-	w := &pingWatchdog{exchange: x}
+// startWatchdog starts the watchdog of an exchange that waits for its answer, with the first check after the given
+// time. The caller must call stop.
+func startWatchdog(x *exchange, quietTime, first time.Duration) *pingWatchdog {
+	w := &pingWatchdog{exchange: x, quietTime: quietTime}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(watchdogQuietTime, w.check)
+	w.timer = time.AfterFunc(first, w.check)
 	return w
 }
 
@@ -49,7 +52,7 @@
 	}
 }
 
-// check pings the peer if nothing came from it for watchdogQuietTime, and fails the exchange if the ping stays
+// check pings the peer if nothing came from it for quietTime, and fails the exchange if the ping stays
 // unanswered.
 func (w *pingWatchdog) check() {
 	w.mu.Lock()
@@ -68,8 +71,8 @@
 		return
 	}
 	w.awaited, w.missed = 0, 0
-	if quiet := c.sinceReceived(); quiet < watchdogQuietTime {
-		w.timer.Reset(watchdogQuietTime - quiet)
+	if quiet := c.sinceReceived(); quiet < w.quietTime {
+		w.timer.Reset(w.quietTime - quiet)
 		return
 	}
 	w.awaited = c.pingSent.Add(1)
--- a/internal/peer/unreachable_test.go
+++ b/internal/peer/unreachable_test.go
@@ -128,3 +128,49 @@
 
 // reconnectTime exceeds the longest connection attempt and the pause after it.
 const reconnectTime = 3 * time.Second
+
+// TestLongUnaryRequestFailsOnceThePeerIsSilent guards against a request whose answer may take long and that waits for it
+// although its peer has fallen silent, so that another peer is asked too late. While the peer answers pings it waits.
+func TestLongUnaryRequestFailsOnceThePeerIsSilent(t *testing.T) {
+	for name, loss := range map[string]func(f *fixture){
+		"nothing arrives":        func(f *fixture) { f.net.Block("a", "b") },
+		"nothing comes back":     func(f *fixture) { f.net.Block("b", "a") },
+		"the connection is lost": func(f *fixture) { f.net.DropOpenSessions("b", "a") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFixture(t, 0, func(t *testing.T, f *fixture) {
+				peer.HandleUnary(f.server, apiv1.Method_METHOD_STATUS, func() *apiv1.StatusRequest { return &apiv1.StatusRequest{} },
+					func(ctx context.Context, _ peer.Identity, _ *apiv1.StatusRequest) (*apiv1.ControlStatus, error) {
+						time.Sleep(1500 * time.Millisecond)
+						return &apiv1.ControlStatus{}, nil
+					})
+				send := func() error {
+					return peer.UnaryResponsive(t.Context(), f.pool, "b:1", apiv1.Method_METHOD_STATUS, &apiv1.StatusRequest{}, &apiv1.ControlStatus{})
+				}
+				require.NoError(t, send(), "a slow peer that answers pings")
+				time.AfterFunc(700*time.Millisecond, func() { loss(f) })
+				began := time.Now()
+				require.Error(t, send())
+				require.Less(t, time.Since(began), 700*time.Millisecond+510*time.Millisecond)
+				f.net.Heal()
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// TestLongUnaryRequestDoesNotWaitForAConnection guards against a request that waits for a connection to a frozen host for as
+// long as the attempt to connect may take.
+func TestLongUnaryRequestDoesNotWaitForAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, peer.ServerOptions{}, slow(0))
+		defer f.close()
+		f.net.Partition([]string{"a"}, []string{"b"})
+		began := time.Now()
+		err := peer.UnaryResponsive(t.Context(), f.pool, "b:1", apiv1.Method_METHOD_STATUS, &apiv1.StatusRequest{}, &apiv1.ControlStatus{})
+		var callErr *peer.CallError
+		require.ErrorAs(t, err, &callErr)
+		require.False(t, callErr.Sent)
+		require.Less(t, time.Since(began), unreachableBound)
+	})
+}
