--- a/internal/vfs/mem.go
+++ b/internal/vfs/mem.go
@@ -42,6 +42,7 @@
 type inode struct {
 	data   []byte
 	synced []byte // data as of the last sync; shares memory with data unless the file was truncated since
+	writes []int  // offsets of the writes since the last sync
 }
 
 // NewMem returns an empty file system.
@@ -88,6 +89,49 @@
 // Restart simulates the restart of the host. It drops all data and names that were not durable, except for a random
 // prefix of each file's unsynced data, releases all locks, and clears the faults.
 func (m *Mem) Restart(rnd *rand.Rand) {
+	m.restart(func(node *inode) []byte {
+		kept := node.synced
+		if extra := len(node.data) - len(kept); extra > 0 {
+			kept = node.data[:len(kept)+rnd.IntN(extra+1)]
+		}
+		return append([]byte(nil), kept...)
+	})
+}
+
+// sectorBytes is the unit in which a torn write reaches the disk.
+const sectorBytes = 512
+
+// RestartTorn is like Restart, but keeps, loses or tears each unsynced write on its own: of a torn write any sectors may be missing, which read as
+// zeros if later bytes of the file remain.
+func (m *Mem) RestartTorn(rnd *rand.Rand) {
+	m.restart(func(node *inode) []byte {
+		if len(node.data) < len(node.synced) {
+			return append([]byte(nil), node.synced...)
+		}
+		kept := append([]byte(nil), node.data...)
+		length := len(node.synced)
+		for i, start := range node.writes {
+			end := len(kept)
+			if i+1 < len(node.writes) {
+				end = node.writes[i+1]
+			}
+			whole, lost := rnd.IntN(3) == 0, rnd.IntN(3) == 0
+			for from := start; from < end; {
+				to := min(end, (from/sectorBytes+1)*sectorBytes)
+				if whole || (!lost && rnd.IntN(2) == 0) {
+					length = to
+				} else {
+					clear(kept[from:to])
+				}
+				from = to
+			}
+		}
+		return kept[:length]
+	})
+}
+
+// restart gives each durable file the content that kept returns.
+func (m *Mem) restart(kept func(*inode) []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.crashed = false
@@ -101,12 +145,7 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		node := m.durable[name]
-		kept := node.synced
-		if extra := len(node.data) - len(kept); extra > 0 {
-			kept = node.data[:len(kept)+rnd.IntN(extra+1)]
-		}
-		fresh := append([]byte(nil), kept...)
+		fresh := kept(m.durable[name])
 		restored := &inode{data: fresh, synced: fresh}
 		m.current[name] = restored
 		m.durable[name] = restored
@@ -315,6 +354,7 @@
 	if limit := f.fs.faults.Capacity; limit > 0 {
 		n = max(0, min(n, int(limit-f.fs.used)))
 	}
+	f.node.writes = append(f.node.writes, len(f.node.data))
 	f.node.data = append(f.node.data, p[:n]...)
 	f.fs.used += int64(n)
 	if n < len(p) {
@@ -329,7 +369,7 @@
 	defer f.fs.mu.Unlock()
 	effective, err := f.fs.durableStep()
 	if effective {
-		f.node.synced = f.node.data
+		f.node.synced, f.node.writes = f.node.data, nil
 	}
 	return err
 }
@@ -343,6 +383,9 @@
 	}
 	f.fs.used -= int64(len(f.node.data)) - size
 	f.node.data = append([]byte(nil), f.node.data[:size]...)
+	for n := len(f.node.writes); n > 0 && f.node.writes[n-1] >= int(size); n-- {
+		f.node.writes = f.node.writes[:n-1]
+	}
 	return nil
 }
 
--- a/internal/vfs/vfs_test.go
+++ b/internal/vfs/vfs_test.go
@@ -1,6 +1,7 @@
 package vfs
 
 import (
+	"bytes"
 	"io/fs"
 	"math/rand/v2"
 	"path/filepath"
@@ -86,3 +87,36 @@
 	require.Equal(t, 4, n)
 	require.ErrorIs(t, err, syscall.ENOSPC)
 }
+
+// TestTornWrites guards against a fault layer that tears less than a disk may: of several writes since the last sync, a later one may remain while an
+// earlier one is lost, and parts of one may be missing. Synced data always remains.
+func TestTornWrites(t *testing.T) {
+	seen := map[string]bool{}
+	for seed := range uint64(200) {
+		fsys := NewMem()
+		file, err := fsys.Create("d/f")
+		require.NoError(t, err)
+		require.NoError(t, fsys.SyncDir("d"))
+		write := func(b byte) {
+			_, err := file.Write(bytes.Repeat([]byte{b}, 2*sectorBytes))
+			require.NoError(t, err)
+		}
+		write('a')
+		require.NoError(t, file.Sync())
+		write('b')
+		write('c')
+		fsys.Crash()
+		fsys.RestartTorn(rand.New(rand.NewPCG(seed, 1)))
+		data, err := fsys.ReadFile("d/f")
+		require.NoError(t, err)
+		require.Equal(t, bytes.Repeat([]byte{'a'}, 2*sectorBytes), data[:2*sectorBytes])
+		kept := ""
+		for from := 2 * sectorBytes; from < len(data); from += sectorBytes {
+			kept += string(data[from])
+		}
+		seen[kept] = true
+	}
+	for _, kept := range []string{"", "bb", "bbcc", "\x00\x00cc", "\x00b", "bb\x00c"} {
+		require.True(t, seen[kept], "%q does not occur: %q", kept, seen)
+	}
+}
