Keep confirmed departures of targets across the end of all processes

What callers saw: a target had left, confirmed with 200, then all processes were killed and started again.

Cause: departures were in the memory of control replicas only. Restarted replicas answered for their predecessors that they knew of none.

Change: each voter stores departures in a file of its own beside the log (internal/departure) and answers after the sync; calls share syncs. A replica whose file is missing, damaged or of another replica, or that begins to vote, answers a restoring node only after it has fetched the records of a majority of the other voters. A voter counts only if a quorum has confirmed its state within 2 s.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/guavaford/guavaford/internal/departure"
 	"github.com/guavaford/guavaford/internal/wal"
 )
 
@@ -22,6 +23,8 @@
 	Bytes    uint64
 	Dropped  uint64
 	Log      wal.Metrics
+	// Departures counts the durable departures of targets.
+	Departures departure.Metrics
 }
 
 // Metrics returns the current metrics.
@@ -37,5 +40,6 @@
 		Bytes:              r.senders.bytes.Load(),
 		Dropped:            r.senders.dropped.Load(),
 		Log:                r.log.Metrics(),
+		Departures:         r.departures.Metrics(),
 	}
 }
--- a/internal/control/network.go
+++ b/internal/control/network.go
@@ -188,8 +188,8 @@
 			return r.Propose(ctx, m)
 		})
 	peer.HandleUnary(s, apiv1.Method_METHOD_DEPARTURES, newOf[apiv1.DepartureRequest],
-		func(_ context.Context, _ peer.Identity, m *apiv1.DepartureRequest) (*apiv1.DepartureResponse, error) {
-			return r.Departures(m)
+		func(ctx context.Context, _ peer.Identity, m *apiv1.DepartureRequest) (*apiv1.DepartureResponse, error) {
+			return r.Departures(ctx, m)
 		})
 	peer.HandleUnary(s, apiv1.Method_METHOD_SYNC, newOf[apiv1.SyncRequest],
 		func(ctx context.Context, _ peer.Identity, m *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -48,6 +48,7 @@
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/departure"
 	"github.com/guavaford/guavaford/internal/rate"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/runrecord"
@@ -67,13 +68,19 @@
 
 // Replica is a member of the control plane. Open creates it and Serve runs it.
 type Replica struct {
-	o      Options
-	log    *wal.Log
-	store  *store.Store
-	relay  *registry.Relay
-	owner  *rate.Owner
-	tables []*runrecord.Table
-	rnd    *rand.Rand
+	o     Options
+	log   *wal.Log
+	store *store.Store
+	relay *registry.Relay
+	// departures are the durable departures of targets.
+	departures *departure.Store
+	// opened is when the process opened the data folder.
+	opened time.Time
+	// votingLapsed is set when the membership in use did not have this replica as a voter. The departures are then not complete.
+	votingLapsed atomic.Bool
+	owner        *rate.Owner
+	tables       []*runrecord.Table
+	rnd          *rand.Rand
 
 	events  chan func(now time.Time)
 	stopped chan struct{}
@@ -139,17 +146,21 @@
 	r.ownership = newOwnership(r)
 	r.owner = rate.NewOwner(r.ownership, newLimits(r.store), o.Clock, o.Rate)
 	r.senders = newSenders(r)
-	if log.Identity().Cluster != 0 {
-		if err := r.addGroups(recovered); err != nil {
-			_ = log.Close()
-			return nil, err
-		}
+	r.opened = o.Clock.Now()
+	r.departures, err = departure.Open(o.FS, o.DataFolder, log.Identity(), r.opened)
+	if err == nil && log.Identity().Cluster != 0 {
+		err = r.addGroups(recovered)
+	}
+	if err != nil {
+		_ = log.Close()
+		return nil, errors.Wrap(err, "open control replica")
 	}
 	r.publish()
 	r.register()
 	voters, learners := memberNodes(&apiv1.Membership{Replicas: r.view.Load().members})
 	r.o.Log.Info("data folder opened", "replica", log.Identity().Replica, "cluster", log.Identity().Cluster,
-		"groups", len(recovered), "voters", voters, "learners", learners)
+		"groups", len(recovered), "voters", voters, "learners", learners, "departures", len(r.departures.All(r.opened)),
+		"departures_complete", r.departures.Complete())
 	return r, nil
 }
 
@@ -198,11 +209,13 @@
 	r.startWorker(func() { r.renewOwnership(ctx) })
 	r.startWorker(func() { r.maintainMembership(ctx) })
 	r.startWorker(func() { r.exchangeRegistry(ctx) })
+	r.startWorker(func() { r.maintainDepartures(ctx) })
 	err := r.loop(ctx)
 	close(r.stopped)
 	cancel()
 	r.engine.failPending()
 	r.workers.Wait()
+	r.departures.Close()
 	if closeErr := r.log.Close(); err == nil {
 		err = closeErr
 	}
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/clock"
 )
@@ -73,19 +71,6 @@
 	}
 }
 
-// ErrLaterProcess is returned to a process of a node when a later one is known.
-var ErrLaterProcess = errors.New("a later process of the node is known")
-
-// Departures stores which targets of a node leave or have left, and returns what the replica holds of the node's targets. It needs no quorum:
-// the node asks several replicas.
-func (r *Replica) Departures(request *apiv1.DepartureRequest) (*apiv1.DepartureResponse, error) {
-	records, stored := r.relay.MergeDepartures(r.o.Clock.Now(), request)
-	if !stored {
-		return nil, ErrLaterProcess
-	}
-	return &apiv1.DepartureResponse{Records: records}, nil
-}
-
 // hasLocalReplica reports whether a node in another data centre than this replica has a replica in its
 // own one whose state a quorum confirmed recently.
 func (r *Replica) hasLocalReplica(request *apiv1.SyncRequest) bool {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -47,6 +47,9 @@
 		next.removed = core.CommittedMembership().Expelled
 		next.admitted = r.admitted()
 	}
+	if !next.votes() {
+		r.votingLapsed.Store(true)
+	}
 	if old == nil || !next.equal(old) {
 		r.view.Store(next)
 		r.logLeaders(old, next)
@@ -69,6 +72,12 @@
 	}
 }
 
+// votes reports whether this replica is a voter of the membership in use.
+func (v *view) votes() bool {
+	member := findMember(&apiv1.Membership{Replicas: v.members}, v.identity.GetReplica())
+	return member != nil && !member.Learner
+}
+
 // leaderOf returns the leader of a group; 0 if there is none or the group does not exist here yet.
 func (v *view) leaderOf(group uint32) uint64 {
 	if v == nil || int(group) >= len(v.groups) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -105,5 +105,17 @@
 	gauge("bytes_sent", func(m control.Metrics) uint64 { return m.Bytes })
 	gauge("log_syncs", func(m control.Metrics) uint64 { return m.Log.Syncs })
 	gauge("log_bytes", func(m control.Metrics) uint64 { return m.Log.Bytes })
+	gauge("departures", func(m control.Metrics) uint64 { return uint64(m.Departures.Records) })
+	gauge("departures_complete", func(m control.Metrics) uint64 {
+		if m.Departures.Complete {
+			return 1
+		}
+		return 0
+	})
+	gauge("departures_stored", func(m control.Metrics) uint64 { return m.Departures.Stored })
+	gauge("departures_failed", func(m control.Metrics) uint64 { return m.Departures.Failed })
+	gauge("departure_syncs", func(m control.Metrics) uint64 { return m.Departures.Syncs })
+	gauge("departure_bytes", func(m control.Metrics) uint64 { return m.Departures.Bytes })
+	gauge("departure_rewrites", func(m control.Metrics) uint64 { return m.Departures.Rewrites })
 	gauge("log_rewrites", func(m control.Metrics) uint64 { return m.Log.Rewrites })
 }
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -15,15 +15,17 @@
 const (
 	// departureTimeout bounds one round of calls to the control replicas. Targets wait a second for a confirmation.
 	departureTimeout = 600 * time.Millisecond
-	// restoreRetryDelay is the time between two rounds of a process that has just started.
-	restoreRetryDelay = 100 * time.Millisecond
+	// restoreRetryDelay and maxRestoreRetryDelay are the shortest and the longest time between two rounds of a process that has just started. Each
+	// round doubles it: while a cluster is founded, all its nodes ask.
+	restoreRetryDelay    = 100 * time.Millisecond
+	maxRestoreRetryDelay = 400 * time.Millisecond
 )
 
 // ErrNotStored means that too few control replicas have stored a departure, so that a later process of this node might not know it.
 var ErrNotStored = errors.New("too few control replicas have stored the departure")
 
-// departures stores which targets of this host leave at control replicas, and restores it from there. A majority stores each departure, and a
-// process that has just started asks a majority, so that one replica at least knows.
+// departures stores which targets of this host leave at control replicas, and restores it from there. A majority stores each departure durably, and
+// a process that has just started asks a majority, so that one replica at least knows. Replicas that may have lost records answer with an error.
 type departures struct {
 	process *Process
 
@@ -80,7 +82,7 @@
 
 // restore asks the control replicas what they hold of this node until a majority has answered.
 func (d *departures) restore(ctx context.Context) {
-	p := d.process
+	p, delay := d.process, restoreRetryDelay
 	for !p.local.Restored() {
 		placement, changed := p.board.Placement.Watch()
 		if len(placement.GetReplicas()) == 0 {
@@ -98,9 +100,10 @@
 			return
 		}
 		p.env.Log.Warn("departures not restored, reports are held back", "replicas", answered, "voters", voters)
-		if !clock.Sleep(ctx, restoreRetryDelay) {
+		if !clock.Sleep(ctx, delay) {
 			return
 		}
+		delay = min(2*delay, maxRestoreRetryDelay)
 	}
 }
 
@@ -147,7 +150,7 @@
 func (d *departures) callReplica(ctx context.Context, r *apiv1.ReplicaInfo, request *apiv1.DepartureRequest) (*apiv1.DepartureResponse, error) {
 	p := d.process
 	if p.replica != nil && r.GetNode() == p.env.identity.Node {
-		return p.replica.Departures(request)
+		return p.replica.Departures(ctx, request)
 	}
 	response := &apiv1.DepartureResponse{}
 	return response, peer.Unary(ctx, p.pool, r.GetAddress(), apiv1.Method_METHOD_DEPARTURES, request, response)
