Confirm no departure with fewer voters than a cluster is founded with

What callers saw: nothing yet. Log lines "departures restored ... replicas=1 voters=1" on clusters founded with three voters; a departure that one voter confirmed could be unknown to a majority of three or five later.

Cause: the majority was one of the voters that the placement names, one at first, and replicas answered without being members.

Evidence: TestNoConfirmationWhileTheClusterIsFounded on: "host-1 takes a departure as one of []".

Change: replicas answer calls about departures only once as many vote as must before the first change. Nodes on the platform know that number, and count a majority of it while their placement is from before the first change. Replicas are complete at once while the cluster is founded, and nodes ask again when the placement changes, so that targets of a new cluster are listed as early as before.

Tests that failed before: TestNoConfirmationWhileTheClusterIsFounded.

--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -31,6 +31,8 @@
 	ErrLaterProcess = errors.New("a later process of the node is known")
 	// ErrNotVoter is returned by replicas that don't vote: nodes must not count them.
 	ErrNotVoter = errors.New("the replica does not vote")
+	// ErrFounding is returned while the cluster lacks the voters that it is founded with.
+	ErrFounding = errors.New("the cluster is being founded")
 	// ErrIncomplete is returned by a replica that may have lost departures.
 	ErrIncomplete = errors.New("the replica may lack departures")
 )
@@ -67,7 +69,7 @@
 	return &apiv1.DepartureResponse{Records: append(records, r.departures.Of(now, request.Node)...)}, nil
 }
 
-// confirmVoting returns an error unless this replica is a voter, and a quorum has confirmed that recently. A replica that
+// confirmVoting returns an error unless this replica is a voter of a cluster that has been founded, and a quorum has confirmed that recently. A replica that
 // was replaced while it was down or cut off takes itself for a voter until it hears of it, and a node that asks it first takes its membership for
 // the current one. It is replaced after a longer silence than the age of a recent confirmation, so its answers never count beside those of its successor.
 func (r *Replica) confirmVoting(ctx context.Context) error {
@@ -77,8 +79,11 @@
 		}
 		r.awaitLoop(ctx) // the membership that the quorum confirmed is in the view after that
 	}
-	if !r.view.Load().votes() {
+	switch {
+	case !r.view.Load().votes():
 		return ErrNotVoter
+	case r.insufficientVoters() != "":
+		return ErrFounding
 	}
 	return nil
 }
@@ -109,9 +114,8 @@
 		if r.votingLapsed.Load() {
 			since = r.o.Clock.Now()
 			r.clearDeparturesComplete(ctx)
-			continue
 		}
-		if r.departures.Complete() {
+		if r.votingLapsed.Load() || r.departures.Complete() {
 			continue
 		}
 		now := r.o.Clock.Now()
@@ -151,12 +155,19 @@
 			others = append(others, member)
 		}
 	}
-	if len(others) > 0 && age < departureFetchDelay {
+	founding := r.founding()
+	if len(others) > 0 && age < departureFetchDelay && !founding {
 		return nil
 	}
+	if founding {
+		others = nil
+	}
 	records, complete, incomplete := r.fetchDepartures(ctx, others)
 	reason := ""
 	switch {
+	case founding:
+		// Nothing has been confirmed yet. The nodes of a new cluster don't wait until all its voters have fetched nothing from each other.
+		reason = "the cluster is being founded"
 	case 2*complete > len(others) || len(others) == 0:
 		reason = "fetched from a majority"
 	case age > departure.Retention:
@@ -181,6 +192,11 @@
 	return nil
 }
 
+// founding reports whether the cluster lacks the voters that it is being founded with. Only a replica whose state a quorum has confirmed can tell.
+func (r *Replica) founding() bool {
+	return r.recentlyConfirmed(r.o.Clock.Now()) && r.store.PublishedState().Load().Revision == 0 && r.insufficientVoters() != ""
+}
+
 // fetchDepartures asks other replicas for all their departures. It returns the records and how many replicas answered that theirs are complete, and
 // that they are not.
 func (r *Replica) fetchDepartures(ctx context.Context, others []*apiv1.ReplicaInfo) (records []*apiv1.TargetRecord, complete, incomplete int) {
--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -7,11 +7,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/memnet"
 	"github.com/guavaford/guavaford/internal/vfs"
 )
 
@@ -287,3 +289,42 @@
 		c.eventually(5*time.Second, func() bool { _, holding := c.answers("b"); return holding == 3 })
 	})
 }
+
+// TestNoConfirmationWhileTheClusterIsFounded guards against a departure that the first voters of a cluster confirm: a majority of one voter is no
+// majority of those with which the cluster is being founded.
+func TestNoConfirmationWhileTheClusterIsFounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, net: memnet.New(1), hosts: map[string]*testHost{}, origin: time.Now()}
+		c.net.SetLatency(func(string, string) memnet.Latency { return memnet.Latency{Delay: 20 * time.Millisecond} })
+		for i := range 5 {
+			name := fmt.Sprintf("host-%d", i+1)
+			c.names = append(c.names, name)
+			c.hosts[name] = &testHost{name: name, fs: vfs.NewMem()}
+		}
+		defer c.close()
+		for _, name := range c.names {
+			c.start(name)
+		}
+		refused := 0
+		c.eventually(20*time.Second, func() bool {
+			taken := 0
+			for i, name := range c.names {
+				voters, _ := memberNodes(&apiv1.Membership{Replicas: c.hosts[name].replica.view.Load().members})
+				err := c.storeDeparture(name, fmt.Sprint("target-", i))
+				answers, _ := c.holds(name, "none")
+				if len(voters) < 3 {
+					require.Error(t, err, "%s takes a departure as one of %v", name, voters)
+					require.False(t, answers)
+				}
+				if len(voters) > 0 && err != nil {
+					refused++
+				}
+				if err == nil && answers {
+					taken++
+				}
+			}
+			return taken == 5
+		})
+		require.Positive(t, refused)
+	})
+}
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
-	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/peer"
 )
 
@@ -100,27 +99,45 @@
 			return
 		}
 		p.env.Log.Warn("departures not restored, reports are held back", "replicas", answered, "voters", voters)
-		if !clock.Sleep(ctx, delay) {
+		// A new placement, as when a cluster has been founded, may bring the majority that was missing.
+		timer := time.NewTimer(delay)
+		select {
+		case <-changed:
+			delay = restoreRetryDelay
+		case <-timer.C:
+			delay = min(2*delay, maxRestoreRetryDelay)
+		case <-ctx.Done():
+			timer.Stop()
 			return
 		}
-		delay = min(2*delay, maxRestoreRetryDelay)
+		timer.Stop()
 	}
 }
 
 func majority(n, of int) bool { return 2*n > of }
 
+// votersOf returns the voting replicas of a placement, and the number of which a majority counts. A placement from before the first change may name the
+// few voters that a cluster has while it is founded; then a majority of those counts with which it is being founded.
+func votersOf(placement *apiv1.Placement, founding int) (replicas []*apiv1.ReplicaInfo, voters int) {
+	for _, r := range placement.GetReplicas() {
+		if !r.GetLearner() {
+			replicas = append(replicas, r)
+		}
+	}
+	if placement.GetRevision() == 0 {
+		return replicas, max(len(replicas), founding)
+	}
+	return replicas, len(replicas)
+}
+
 // call sends departures to all voting replicas and returns the records of those that answer, until a majority has. The other calls go on, so
 // that more replicas know.
 func (d *departures) call(ctx context.Context, departed []*apiv1.TargetRecord) (records []*apiv1.TargetRecord, answered, voters int) {
 	p := d.process
 	request := &apiv1.DepartureRequest{Node: p.env.identity.Node, Departed: departed}
-	replicas := p.board.Placement.Load().GetReplicas()
+	replicas, voters := votersOf(p.board.Placement.Load(), p.env.settings.MinVoters)
 	responses := make(chan *apiv1.DepartureResponse, len(replicas))
 	for _, r := range replicas {
-		if r.GetLearner() {
-			continue
-		}
-		voters++
 		p.running.Go(func() {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), departureTimeout)
 			defer cancel()
@@ -132,7 +149,7 @@
 			responses <- response
 		})
 	}
-	for range voters {
+	for range replicas {
 		response := <-responses
 		if response == nil {
 			continue
