Start no call about departures while the process waits for its goroutines

What callers saw: nothing yet; read in the code. A confirmation during a stop started calls after the process had closed, and a WaitGroup that is waited for may panic when it grows from zero.

Cause: requests of targets and operators are not counted by the process's WaitGroup, but added to it.

Change: Process.goCall adds under a lock, and not at all once Close is about to wait; the target gets 503. The release of a quarantined request by an operator had the same fault and uses it too.

--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -138,7 +138,7 @@
 	replicas, voters := votersOf(p.board.Placement.Load(), p.env.settings.MinVoters)
 	responses := make(chan *apiv1.DepartureResponse, len(replicas))
 	for _, r := range replicas {
-		p.running.Go(func() {
+		started := p.goCall(func() {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), departureTimeout)
 			defer cancel()
 			response, err := d.callReplica(ctx, r, request)
@@ -148,6 +148,9 @@
 			}
 			responses <- response
 		})
+		if !started {
+			responses <- nil
+		}
 	}
 	for range replicas {
 		response := <-responses
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -90,5 +90,20 @@
 	}
 	p.peers.Close()
 	p.pool.Close()
+	p.callsMu.Lock()
+	p.noCalls = true
+	p.callsMu.Unlock()
 	p.running.Wait()
 }
+
+// goCall runs a call to another node in a goroutine that Close waits for. Once that wait has begun it runs nothing and returns false: requests of targets
+// and operators may still be running then, and a WaitGroup that is waited for must not grow from zero.
+func (p *Process) goCall(call func()) bool {
+	p.callsMu.Lock()
+	defer p.callsMu.Unlock()
+	if p.noCalls {
+		return false
+	}
+	p.running.Go(call)
+	return true
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -144,6 +144,9 @@
 	requests callerRequests
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
+	// noCalls is set once Close waits for running; see goCall.
+	callsMu sync.Mutex
+	noCalls bool
 	// failed receives the errors of components that must not fail; the first one stops the process.
 	failed chan error
 }
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -359,7 +359,7 @@
 	if slices.Contains(q.services(), record.Service) {
 		q.notify()
 	} else {
-		p.goRun("quarantine release", func() error { q.spread(record.Service); return nil })
+		p.goCall(func() { q.spread(record.Service) })
 	}
 	return true
 }
