--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -8,22 +8,23 @@
 	"github.com/pkg/errors"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
-	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/peer"
 )
 
 const (
 	// departureTimeout bounds one round of calls to the control replicas. Targets wait a second for a confirmation.
 	departureTimeout = 600 * time.Millisecond
-	// restoreRetryDelay is the time between two rounds of a process that has just started.
-	restoreRetryDelay = 100 * time.Millisecond
+	// restoreRetryDelay and maxRestoreRetryDelay are the shortest and the longest time between two rounds of a process that has just started. Each
+	// round doubles it: while a cluster is founded, all its nodes ask.
+	restoreRetryDelay    = 100 * time.Millisecond
+	maxRestoreRetryDelay = 400 * time.Millisecond
 )
 
 // ErrNotStored means that too few control replicas have stored a departure, so that a later process of this node might not know it.
 var ErrNotStored = errors.New("too few control replicas have stored the departure")
 
-// departures stores which targets of this host leave at control replicas, and restores it from there. A majority stores each departure, and a
-// process that has just started asks a majority, so that one replica at least knows.
+// departures stores which targets of this host leave at control replicas, and restores it from there. A majority stores each departure durably, and
+// a process that has just started asks a majority, so that one replica at least knows. Replicas that may have lost records answer with an error.
 type departures struct {
 	process *Process
 
@@ -80,7 +81,7 @@
 
 // restore asks the control replicas what they hold of this node until a majority has answered.
 func (d *departures) restore(ctx context.Context) {
-	p := d.process
+	p, delay := d.process, restoreRetryDelay
 	for !p.local.Restored() {
 		placement, changed := p.board.Placement.Watch()
 		if len(placement.GetReplicas()) == 0 {
@@ -98,27 +99,46 @@
 			return
 		}
 		p.env.Log.Warn("departures not restored, reports are held back", "replicas", answered, "voters", voters)
-		if !clock.Sleep(ctx, restoreRetryDelay) {
+		// A new placement, as when a cluster has been founded, may bring the majority that was missing.
+		timer := time.NewTimer(delay)
+		select {
+		case <-changed:
+			delay = restoreRetryDelay
+		case <-timer.C:
+			delay = min(2*delay, maxRestoreRetryDelay)
+		case <-ctx.Done():
+			timer.Stop()
 			return
 		}
+		timer.Stop()
 	}
 }
 
 func majority(n, of int) bool { return 2*n > of }
 
+// votersOf returns the voting replicas of a placement, and the number of which a majority counts. A placement from before the first change may name the
+// few voters that a cluster has while it is founded; then a majority of those counts with which it is being founded.
+func votersOf(placement *apiv1.Placement, founding int) (replicas []*apiv1.ReplicaInfo, voters int) {
+	for _, r := range placement.GetReplicas() {
+		if !r.GetLearner() {
+			replicas = append(replicas, r)
+		}
+	}
+	if placement.GetRevision() == 0 {
+		return replicas, max(len(replicas), founding)
+	}
+	return replicas, len(replicas)
+}
+
 // call sends departures to all voting replicas and returns the records of those that answer, until a majority has. The other calls go on, so
 // that more replicas know.
 func (d *departures) call(ctx context.Context, departed []*apiv1.TargetRecord) (records []*apiv1.TargetRecord, answered, voters int) {
 	p := d.process
 	request := &apiv1.DepartureRequest{Node: p.env.identity.Node, Departed: departed}
-	replicas := p.board.Placement.Load().GetReplicas()
+	replicas, voters := votersOf(p.board.Placement.Load(), p.env.settings.MinVoters)
 	responses := make(chan *apiv1.DepartureResponse, len(replicas))
 	for _, r := range replicas {
-		if r.GetLearner() {
-			continue
-		}
-		voters++
-		p.running.Go(func() {
+		started := p.goCall(func() {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), departureTimeout)
 			defer cancel()
 			response, err := d.callReplica(ctx, r, request)
@@ -128,8 +148,11 @@
 			}
 			responses <- response
 		})
+		if !started {
+			responses <- nil
+		}
 	}
-	for range voters {
+	for range replicas {
 		response := <-responses
 		if response == nil {
 			continue
@@ -147,7 +170,7 @@
 func (d *departures) callReplica(ctx context.Context, r *apiv1.ReplicaInfo, request *apiv1.DepartureRequest) (*apiv1.DepartureResponse, error) {
 	p := d.process
 	if p.replica != nil && r.GetNode() == p.env.identity.Node {
-		return p.replica.Departures(request)
+		return p.replica.Departures(ctx, request)
 	}
 	response := &apiv1.DepartureResponse{}
 	return response, peer.Unary(ctx, p.pool, r.GetAddress(), apiv1.Method_METHOD_DEPARTURES, request, response)
