--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -67,6 +67,7 @@
 			deleteCommand(),
 			labelCommand(),
 			drainCommand(),
+			undrainCommand(),
 			keysCommand(),
 			replicasCommand(),
 			quarantineCommand(),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -291,6 +291,27 @@
 	require.Contains(t, f.fails(ExitInvalid, "drain", "unknown/x"), "no Route leads to service")
 }
 
+// TestDrainOfADataCentre guards against a drained data centre whose targets still receive requests, against one that
+// "get" doesn't show, and against a drain that can't be taken back.
+func TestDrainOfADataCentre(t *testing.T) {
+	f := newFleet(t)
+	f.control.targets = []*apiv1.TargetRecord{{Name: "jadual-1", Service: "jadual", Node: "n4", DataCentre: "KL_1"}}
+	f.ok("apply", "-f", f.file("a.yaml", example))
+	require.Contains(t, f.ok("describe", "route/schedule"), "announced target/n4/jadual-1")
+	f.fails(ExitNotFound, "undrain", "data-centre", "KL_1")
+	f.ok("drain", "data-centre", "KL_1")
+	require.Contains(t, f.run("drain", "data-centre", "KL_1").errOut, "nothing to change")
+	require.NotContains(t, f.ok("describe", "route/schedule"), "announced target")
+	require.Contains(t, f.ok("describe", "data-centre/KL_1"), "announced target/n4/jadual-1")
+	require.Regexp(t, `DATACENTRE +DRAIN +REVISION\nKL_1 +true +2\n`, f.ok("get", "datacentres"))
+	require.Contains(t, f.ok("get", "all"), "KL_1")
+	f.ok("undrain", "data-centre", "KL_1")
+	require.Contains(t, f.ok("describe", "route/schedule"), "announced target/n4/jadual-1")
+	f.ok("apply", "-f", f.file("b.yaml", "kind: DataCentre\nname: KL_1\nspec: {drain: false}\n"))
+	f.ok("drain", "data-centre", "KL_1")
+	require.NotContains(t, f.ok("describe", "route/schedule"), "announced target", "a document without a drain is taken for one")
+}
+
 // TestLostAnswerIsResentUnderTheSameID guards against a change that takes effect twice when the server applied it but
 // its answer was lost.
 func TestLostAnswerIsResentUnderTheSameID(t *testing.T) {
@@ -339,7 +360,7 @@
 	f := newFleet(t)
 	for _, args := range [][]string{
 		{"nonsense"}, {"get"}, {"get", "thing"}, {"get", "--nonsense"}, {"apply"}, {"check", "-f", "missing"}, {"label", "route/a"},
-		{"label", "route", "a=b"}, {"drain"}, {"drain", "jadual"}, {"keys", "nonsense"}, {"keys", "issue"}, {"get", "all", "-o", "xml"},
+		{"label", "route", "a=b"}, {"drain"}, {"drain", "jadual"}, {"drain", "data-centre"}, {"drain", "data-centre", "-kl"}, {"undrain", "kl"}, {"undrain", "data-centre", "a", "b"}, {"keys", "nonsense"}, {"keys", "issue"}, {"get", "all", "-o", "xml"},
 		{"get", "all", "-l", "a in"}, {"node", "--freshness-limit", "x"}, {"node", "now"}, {"get", "all", "--server", "ftp://x"},
 	} {
 		r := f.run(args...)
--- a/internal/cli/describe.go
+++ b/internal/cli/describe.go
@@ -121,6 +121,12 @@
 				add("announced target", t.Node+"/"+t.Name)
 			}
 		}
+	case *config.DataCentreSpec:
+		for _, t := range targets {
+			if t.DataCentre == d.Name {
+				add("announced target", t.Node+"/"+t.Name)
+			}
+		}
 	case *config.TargetSpec:
 		for _, t := range targets {
 			if spec.Matches(t.Service, t.Name, announcedLabels(t)) {
--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -83,17 +83,17 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
-// commandTable returns a Markdown table of all commands without subcommands.
+// commandTable returns a Markdown table of all commands that do something themselves: those with arguments of their own or
+// without subcommands.
 func commandTable(root *cli.Command) string {
 	lines := []string{"| Command | Meaning |", "|---|---|"}
 	var list func(prefix string, commands []*cli.Command)
 	list = func(prefix string, commands []*cli.Command) {
 		for _, c := range commands {
-			if len(c.Commands) > 0 {
-				list(prefix+c.Name+" ", c.Commands)
-				continue
+			if len(c.Commands) == 0 || c.ArgsUsage != "" {
+				lines = append(lines, fmt.Sprintf("| `%s%s %s` | %s |", prefix, c.Name, strings.ReplaceAll(c.ArgsUsage, "|", "\\|"), c.Usage))
 			}
-			lines = append(lines, fmt.Sprintf("| `%s%s %s` | %s |", prefix, c.Name, strings.ReplaceAll(c.ArgsUsage, "|", "\\|"), c.Usage))
+			list(prefix+c.Name+" ", c.Commands)
 		}
 	}
 	list("", root.Commands)
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -32,29 +33,69 @@
 			&cli.StringFlag{Name: flagNode, Usage: "drain every target beside this node"},
 			&cli.BoolFlag{Name: flagUndo, Usage: "end the drain"},
 		),
+		Commands: []*cli.Command{dataCentreCommand("stop new work for all targets of a data centre", false)},
 		Action: withClient(func(ctx context.Context, c *cli.Command, client *operator.Client) error {
 			document, err := drainDocument(c)
 			if err != nil {
 				return err
 			}
-			return computeAndSubmit(ctx, c, client, func(configuration *operator.Configuration) (*operator.Change, error) {
-				return drainChange(configuration, document, c.Bool(flagUndo), c.IsSet(flagChangeID))
-			})
+			return submitDrain(ctx, c, client, document, c.Bool(flagUndo))
 		}),
 	}
 }
 
+// undrainCommand ends drains.
+func undrainCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "undrain",
+		Usage:    "end the drain of a data centre",
+		Commands: []*cli.Command{dataCentreCommand("let new work for the targets of a data centre in again", true)},
+		Action:   noCommand,
+	}
+}
+
+// dataCentreCommand drains a data centre, or ends its drain if undo is set.
+func dataCentreCommand(usage string, undo bool) *cli.Command {
+	return &cli.Command{
+		Name:      "data-centre",
+		Usage:     usage,
+		ArgsUsage: "NAME",
+		Description: "The drain is a DataCentre document with the name of the data centre; it stays in force until it is undone. Requests\n" +
+			"that already run are finished, those that wait go elsewhere. See it in: get datacentres",
+		Flags: changeFlags(),
+		Action: withClient(func(ctx context.Context, c *cli.Command, client *operator.Client) error {
+			name := c.Args().First()
+			if c.Args().Len() != 1 || !config.ValidDataCentre(name) {
+				return usageError("name one data centre, as in: %s kl", c.FullName())
+			}
+			spec, err := json.Marshal(&config.DataCentreSpec{Drain: true})
+			if err != nil {
+				return errors.Wrap(err, "encode the drain")
+			}
+			document := operator.Document{Kind: config.KindDataCentre, Name: name, Spec: spec}
+			return submitDrain(ctx, c, client, document, undo)
+		}),
+	}
+}
+
+// submitDrain adds the document of a drain, or removes it if undo is set.
+func submitDrain(ctx context.Context, c *cli.Command, client *operator.Client, document operator.Document, undo bool) error {
+	return computeAndSubmit(ctx, c, client, func(configuration *operator.Configuration) (*operator.Change, error) {
+		return drainChange(configuration, document, undo, c.IsSet(flagChangeID))
+	})
+}
+
 // drainChange returns the change that adds or removes the document of a drain; it is empty if the drain exists
-// already. A resend is built without regard to the current documents, which may already contain its effect.
+// already. A DataCentre document may exist without a drain. A resend is built without regard to the current documents, which may already contain its effect.
 func drainChange(configuration *operator.Configuration, d operator.Document, undo, resend bool) (*operator.Change, error) {
 	ref := operator.DocumentRef{Kind: d.Kind, Name: d.Name}
-	_, missing := find(configuration, ref)
+	known, missing := find(configuration, ref)
 	switch {
 	case undo && missing != nil && !resend:
 		return nil, notFoundError("there is no such drain (%s %s)", d.Kind, d.Name)
 	case undo:
 		return &operator.Change{Deletes: []operator.DocumentRef{ref}}, nil
-	case missing == nil && !resend:
+	case missing == nil && (d.Kind == config.KindTarget || bytes.Equal(known.Spec, d.Spec)) && !resend:
 		return &operator.Change{}, nil
 	default:
 		return &operator.Change{Upserts: []operator.Document{d}}, nil
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -168,6 +168,8 @@
 		columns = []string{"SERVICE", "METHODS", "HOST", "PREFIX", "CLASS", "ACCESS", "LABELS"}
 	case config.KindTarget:
 		columns = []string{"SERVICE", "TARGETS", "DRAIN", "SLOTS", "LABELS"}
+	case config.KindDataCentre:
+		columns = []string{"DRAIN"}
 	}
 	return append(append([]string{strings.ToUpper(kind)}, columns...), "REVISION")
 }
@@ -191,6 +193,8 @@
 		return []string{r.Service, orDash(strings.Join(r.Methods, ",")), orDash(r.Host), r.PathPrefix, r.Class.Name, accessName(r), formatLabels(d.Labels)}, nil
 	case *config.TargetSpec:
 		return []string{spec.Service, orDash(spec.Target + spec.Selector.String()), strconv.FormatBool(spec.Drain), formatOptionalInt(spec.Slots), formatLabels(spec.Labels)}, nil
+	case *config.DataCentreSpec:
+		return []string{strconv.FormatBool(spec.Drain)}, nil
 	default:
 		return nil, nil
 	}
--- a/internal/cli/refs.go
+++ b/internal/cli/refs.go
@@ -12,9 +12,9 @@
 // kindAll stands for every kind on the command line.
 const kindAll = "all"
 
-// parseKind returns the kind that text names in any case, in the singular or plural.
+// parseKind returns the kind that text names in any case, in the singular or plural, with or without hyphens.
 func parseKind(text string) (string, error) {
-	lower := strings.ToLower(text)
+	lower := strings.ReplaceAll(strings.ToLower(text), "-", "")
 	for _, kind := range config.Kinds() {
 		singular := strings.ToLower(kind)
 		if lower == singular || lower == singular+"s" || lower == singular+"es" {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -25,6 +25,7 @@
 	routes        []document[*RouteSpec]
 	targets       []document[*TargetSpec]
 	callers       []document[*CallersSpec]
+	dataCentres   []document[*DataCentreSpec]
 
 	// rateOf holds the Rate of each organisation and classOf the Class of each route, by their
 	// names. check fills them in.
@@ -74,6 +75,8 @@
 		d.targets = append(d.targets, document[*TargetSpec]{r.GetName(), r.GetLabels(), s})
 	case *CallersSpec:
 		d.callers = append(d.callers, document[*CallersSpec]{r.GetName(), r.GetLabels(), s})
+	case *DataCentreSpec:
+		d.dataCentres = append(d.dataCentres, document[*DataCentreSpec]{r.GetName(), r.GetLabels(), s})
 	}
 }
 
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -113,9 +113,9 @@
 func envelopeProblems(r *apiv1.Resource) Problems {
 	problem := Problem{Kind: r.GetKind(), Name: r.GetName()}
 	var problems Problems
-	if !validName(r.GetName()) {
+	if valid, rule := validResourceName(r.GetKind(), r.GetName()); !valid {
 		problem.Field = "name"
-		problem.Message = fmt.Sprintf("%q is not a name; allowed: %s", r.GetName(), nameRule)
+		problem.Message = fmt.Sprintf("%q is not a name; allowed: %s", r.GetName(), rule)
 		problems = append(problems, problem)
 	}
 	for _, message := range labelProblems(r.GetLabels()) {
@@ -152,7 +152,7 @@
 }
 
 // NewResource returns the document that holds a spec: *OrganisationSpec, *RateSpec, *ClassSpec,
-// *RouteSpec, *TargetSpec or *CallersSpec. It returns the problems if the document is not valid.
+// *RouteSpec, *TargetSpec, *CallersSpec or *DataCentreSpec. It returns the problems if the document is not valid.
 func NewResource(kind, name string, labels map[string]string, s any) (*apiv1.Resource, Problems) {
 	typed, ok := s.(spec)
 	if !ok {
@@ -174,7 +174,7 @@
 }
 
 // DecodeSpec returns the typed spec of a stored document: *OrganisationSpec, *RateSpec,
-// *ClassSpec, *RouteSpec, *TargetSpec or *CallersSpec.
+// *ClassSpec, *RouteSpec, *TargetSpec, *CallersSpec or *DataCentreSpec.
 func DecodeSpec(r *apiv1.Resource) (any, error) {
 	decoded, problems := decodeResource(r)
 	if err := problems.Err(); err != nil {
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -44,6 +44,8 @@
 	serviceRoutes map[string]routeTable
 	// targetDocuments holds the Target documents by service, each in the order in which they apply.
 	targetDocuments map[string][]*targetDocument
+	// drainedDataCentres holds the data centres that operators drain.
+	drainedDataCentres map[string]bool
 }
 
 // Organisation is a tenant with the rate limit from its Rate document.
@@ -151,6 +153,7 @@
 		callerRoutes:            map[string]routeTable{},
 		serviceRoutes:           map[string]routeTable{},
 		targetDocuments:         map[string][]*targetDocument{},
+		drainedDataCentres:      map[string]bool{},
 		organisationByKeyDigest: map[string]*Organisation{},
 		CallerLimits:            docs.callerLimits(),
 	}
@@ -171,6 +174,11 @@
 	for _, t := range docs.targets {
 		s.targetDocuments[t.spec.Service] = append(s.targetDocuments[t.spec.Service], newTargetDocument(t))
 	}
+	for _, d := range docs.dataCentres {
+		if d.spec.Drain {
+			s.drainedDataCentres[d.name] = true
+		}
+	}
 	s.sort()
 	return s
 }
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -21,6 +21,7 @@
 	KindRoute        = "Route"
 	KindTarget       = "Target"
 	KindCallers      = "Callers"
+	KindDataCentre   = "DataCentre"
 )
 
 // Limits on the values of spec fields.
@@ -57,7 +58,7 @@
 
 // Kinds returns all document kinds in the order in which they are shown to operators.
 func Kinds() []string {
-	return []string{KindOrganisation, KindRate, KindClass, KindRoute, KindTarget, KindCallers}
+	return []string{KindOrganisation, KindRate, KindClass, KindRoute, KindTarget, KindCallers, KindDataCentre}
 }
 
 // spec is the typed spec of a document.
@@ -81,6 +82,8 @@
 		return &TargetSpec{}
 	case KindCallers:
 		return &CallersSpec{}
+	case KindDataCentre:
+		return &DataCentreSpec{}
 	default:
 		return nil
 	}
--- a/internal/config/target.go
+++ b/internal/config/target.go
@@ -77,10 +77,10 @@
 // those of WithReservedLabels. Documents for every service apply first, then those
 // of the service; within each, those for all targets, then those by selector, then those for
 // a single target, each sorted by document name. A later document overrides the fields that it
-// sets, except that a drain by any document takes effect. Slots of documents can only lower
+// sets, except that a drain by any document takes effect, that of its data centre included. Slots of documents can only lower
 // the number that the target announced.
 func (s *Snapshot) TargetPolicy(service, name string, announced labels.Set, announcedSlots int) TargetPolicy {
-	policy := TargetPolicy{Labels: announced, Slots: announcedSlots}
+	policy := TargetPolicy{Labels: announced, Slots: announcedSlots, Draining: s.IsDrained(announced[LabelDataCentre])}
 	slots := 0
 	for _, scope := range []string{AnyService, service} {
 		for _, d := range s.targetDocuments[scope] {
--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -136,11 +136,12 @@
 	p.env.Log.Info(message, "service", l.Service, "share", l.Share, "age", l.Age)
 }
 
-// countTargets returns the number of targets among which the repeats of a service are divided. After half of the time that an announcement
+// countTargets returns the number of targets among which the repeats of a service are divided: those outside of drained
+// data centres. After half of the time that an announcement
 // lasts without contact to control, the node may have left the registry of others.
 func (p *Process) countTargets(service string) int {
 	silence, ok := p.board.Freshness.Load().SinceResponse(p.env.Clock.Now())
-	return gate.DivideAmong(len(p.targetsOf(service)), ok && silence > p.env.settings.AnnouncementTTL/2)
+	return gate.DivideAmong(p.countUndrained(service), ok && silence > p.env.settings.AnnouncementTTL/2)
 }
 
 // listenDirect listens at the address of the direct entry, if there is one.
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -51,7 +51,7 @@
 func (p *Process) exchangeLoads(ctx context.Context) {
 	for clock.Sleep(ctx, loadExchangeInterval) {
 		for _, t := range p.gate.Loads() {
-			if t.Reading.Load < minExchangedLoad {
+			if t.Reading.Load < minExchangedLoad || p.isDrained(t.Target) {
 				continue
 			}
 			if other := p.randomOtherTarget(t); other != nil {
@@ -65,7 +65,7 @@
 func (p *Process) randomOtherTarget(t gate.TargetLoad) *registry.Target {
 	var others []*registry.Target
 	for _, o := range p.board.Registry.Load().Services[t.Target.Service] {
-		if o.Node != t.Target.Node {
+		if o.Node != t.Target.Node && !p.isDrained(o) {
 			others = append(others, o)
 		}
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -136,6 +137,8 @@
 	quarantineExchange *quarantineExchange
 	// loadTracker holds the loads of services that this node knows; nil without a direct entry.
 	loadTracker *shed.LoadTracker
+	// drainedTargets is the number of known targets in drained data centres.
+	drainedTargets atomic.Int64
 	// callIndex finds the calls that run at this host's targets by their request ids; nil without a direct entry.
 	callIndex *callctx.CallIndex
 	// logLimit bounds the log lines about single requests, for all components together.
@@ -361,6 +364,7 @@
 	p.goRun("dispatch", func() error { p.dispatcher.Run(ctx); return nil })
 	p.goRun("rate", func() error { p.rates.Run(ctx); return nil })
 	p.goRun("targets", func() error { p.refreshTargets(ctx); return nil })
+	p.goRun("drained data centres", func() error { p.followDrains(ctx); return nil })
 	p.goRun("departures", func() error { p.departures.restore(ctx); return nil })
 	if p.quarantineExchange != nil {
 		p.goRun("quarantine exchange", func() error { p.quarantineExchange.run(ctx); return nil })
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -60,6 +60,8 @@
 	m.SetGauge("admission_limit", func() float64 { return p.sumTargets(func(t operator.LocalTarget) int { return t.Limit }) })
 	m.SetGauge("leased_tokens", p.leasedTokens)
 	m.SetGauge("queued", func() float64 { return p.sumTargets(func(t operator.LocalTarget) int { return t.Queued }) })
+	m.SetGauge("drained_data_centres", func() float64 { return float64(len(p.board.Configuration.Load().Snapshot.DrainedDataCentres())) })
+	m.SetGauge("drained_targets", func() float64 { return float64(p.drainedTargets.Load()) })
 	p.setControlGauges()
 	m.SetTraffic(p.Traffic)
 	m.Publish()
--- a/internal/shed/relay.go
+++ b/internal/shed/relay.go
@@ -90,6 +90,10 @@
 	byTarget map[string]*reading
 	// overall is the mean of all readings, forwardable the mean of those that may be forwarded.
 	overall, forwardable meanReading
+	// drained holds the IDs of the service's own targets that are no capacity, and increase what their load adds to
+	// the others.
+	drained  map[string]bool
+	increase expectedIncrease
 }
 
 // meanReading is a mean of readings and the time at which it was computed.
@@ -132,26 +136,35 @@
 // meanCacheTTL.
 func (s *serviceLoad) cachedMean(now time.Time, kept *meanReading, least origin) (reading, bool) {
 	if age := now.Sub(kept.computed); kept.computed.IsZero() || age >= meanCacheTTL || age < 0 {
-		kept.reading, kept.computed = s.computeMean(now, least), now
+		kept.reading, kept.computed = s.computeMean(now, least, kept == &s.overall), now
 	}
 	return kept.reading, !kept.at.IsZero()
 }
 
-// computeMean deletes expired readings and returns the mean of those whose origin is at least least.
-func (s *serviceLoad) computeMean(now time.Time, least origin) reading {
+// computeMean deletes expired readings and returns the mean of those whose origin is at least least. Readings of drained
+// targets don't count. If expected is set, an expected increase adds to the readings of the service's own targets;
+// callers of the service have added it to theirs.
+func (s *serviceLoad) computeMean(now time.Time, least origin, expected bool) reading {
 	var mean reading
-	total, above := 0.0, 0.0
+	total, above, increase := 0.0, 0.0, 0.0
+	if expected {
+		increase = s.increase.remaining(now)
+	}
 	for from, r := range s.byTarget {
 		if now.Sub(r.at) > readingTTL {
 			delete(s.byTarget, from)
 			continue
 		}
-		if r.origin < least {
+		if r.origin < least || !r.fromCaller && s.drained[from] {
 			continue
 		}
+		load := r.load
+		if !r.fromCaller {
+			load += increase
+		}
 		weight := math.Exp(-now.Sub(r.at).Seconds() / readingWeightDecay.Seconds())
 		total += weight
-		mean.load += weight / total * (r.load - mean.load)
+		mean.load += weight / total * (load - mean.load)
 		if r.fromCaller {
 			above += weight
 			mean.lost += weight / above * (r.lost - mean.lost)
@@ -288,7 +301,7 @@
 		if len(out) == maxReadingsPerExchange {
 			break
 		}
-		if age := now.Sub(known.at); age <= readingTTL && known.origin >= originDirect {
+		if age := now.Sub(known.at); age <= readingTTL && known.origin >= originDirect && !r.services[service].drained[target] {
 			out = append(out, &apiv1.TargetReading{
 				Target: target, LoadPermille: uint32(known.load * permille), AgeMs: uint32(max(age, 0) / time.Millisecond)})
 		}
@@ -330,6 +343,9 @@
 		if !ok {
 			continue
 		}
+		if name != w.Service {
+			known.load += s.increase.remaining(now)
+		}
 		report = append(report, &apiv1.Pressure{
 			Service:       name,
 			LoadPermille:  uint32(known.load * permille),
--- a/internal/store/change.go
+++ b/internal/store/change.go
@@ -50,7 +50,7 @@
 func (s *Store) problems(change *apiv1.Change) []string {
 	var problems []string
 	if change.Document != nil {
-		return append(s.documentProblems(change), s.check(sortedResources(resourcesByID(change.Upserts)))...)
+		return append(s.documentProblems(change), s.check(sortedResources(s.resourcesAfterDocument(change)))...)
 	}
 	if len(change.Upserts)+len(change.Deletes)+len(change.IssueKeys)+len(change.WithdrawKeys) == 0 {
 		problems = append(problems, "the change is empty")
--- a/internal/store/document.go
+++ b/internal/store/document.go
@@ -14,7 +14,11 @@
 // maxAccepted is the number of accepted documents that are remembered to recognise resends.
 const maxAccepted = 16384
 
-// A document replaces the whole configuration. It carries a version chosen by the operator and the
+// dataCentreKind is the kind of the resources that say which data centres are drained. Documents neither carry nor
+// remove them: a drain ends only when an operator takes it back, whichever documents are submitted meanwhile.
+const dataCentreKind = "DataCentre"
+
+// A document replaces the whole configuration, except for the resources of dataCentreKind. It carries a version chosen by the operator and the
 // base version that it was derived from, so that only one of two documents with the same base is accepted.
 // Unlike those of other changes, its refusals are not recorded: a refused document may be valid later.
 
@@ -43,18 +47,34 @@
 }
 
 // documentProblems checks that the version of a document is above the current one, and that its change has no
-// deletes or keys.
+// deletes, keys or data centres.
 func (s *Store) documentProblems(change *apiv1.Change) []string {
 	var problems []string
 	if len(change.Deletes)+len(change.IssueKeys)+len(change.WithdrawKeys) > 0 {
 		problems = append(problems, "a change with a whole document can't also delete resources, issue keys or withdraw keys")
 	}
+	for _, r := range change.Upserts {
+		if r.Kind == dataCentreKind {
+			problems = append(problems, fmt.Sprintf("a document can't carry %s %q; it has a change of its own", r.Kind, r.Name))
+		}
+	}
 	if current := s.document.GetVersion(); change.Document.Version <= current {
 		problems = append(problems, fmt.Sprintf("version %d is not above the current version %d", change.Document.Version, current))
 	}
 	return problems
 }
 
+// resourcesAfterDocument returns the resources as they would be after a document: its own and the data centres.
+func (s *Store) resourcesAfterDocument(change *apiv1.Change) map[resourceID]*apiv1.Resource {
+	after := resourcesByID(change.Upserts)
+	for id, r := range s.resources {
+		if id.kind == dataCentreKind {
+			after[id] = r
+		}
+	}
+	return after
+}
+
 // resourcesByID returns the resources by kind and name.
 func resourcesByID(resources []*apiv1.Resource) map[resourceID]*apiv1.Resource {
 	all := make(map[resourceID]*apiv1.Resource, len(resources))
@@ -98,7 +118,7 @@
 }
 
 // documentChange returns the change that turns the current resources into those of a document, so that nodes
-// receive only what differs.
+// receive only what differs. It leaves the data centres as they are.
 func (s *Store) documentChange(whole *apiv1.Change) *apiv1.Change {
 	change := &apiv1.Change{}
 	wanted := resourcesByID(whole.Upserts)
@@ -108,7 +128,7 @@
 		}
 	}
 	for _, r := range sortedResources(s.resources) {
-		if wanted[resourceID{r.Kind, r.Name}] == nil {
+		if r.Kind != dataCentreKind && wanted[resourceID{r.Kind, r.Name}] == nil {
 			change.Deletes = append(change.Deletes, &apiv1.ResourceRef{Kind: r.Kind, Name: r.Name})
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -118,6 +118,14 @@
 	return mustMarshal(reply)
 }
 
+// Resource returns a resource, or nil if it does not exist, and the revision of the state that it was read from. The
+// caller must not modify it.
+func (s *Store) Resource(kind, name string) (resource *apiv1.Resource, revision uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.resources[resourceID{kind, name}], s.revision
+}
+
 // publish publishes the current state. The caller holds mu.
 func (s *Store) publish() {
 	s.head.Publish(&PublishedState{
