--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,13 @@
 	crashOnce sync.Once
 	// starts counts the crashed targets that this one replaces.
 	starts int
+	// lastRequest is when the last request reached the target, in Unix nanoseconds.
+	lastRequest atomic.Int64
+}
+
+// LastRequest returns when the last request reached the target.
+func (t *Target) LastRequest() time.Time {
+	return time.Unix(0, t.lastRequest.Load())
 }
 
 // AddTarget starts a target on the host. It renews its announcement until Leave, Kill or Host.Close.
@@ -188,6 +196,7 @@
 	if err != nil {
 		return nil, err
 	}
+	t.lastRequest.Store(time.Now().UnixNano())
 	t.host.fleet.Executions.add(t.Service, r.Header.Get(headers.Organisation), r.URL.Path)
 	for _, call := range t.SubCalls {
 		w := t.host.targetRequest(r.Context(), http.MethodGet, "/call/"+call, r.Header.Get(headers.Handle), strings.NewReader(""))
--- a/internal/store/document_test.go
+++ b/internal/store/document_test.go
@@ -75,3 +75,47 @@
 	require.Equal(t, accepted, submit(t, restored, documentOf(3, 0, "one")).Result)
 	require.Equal(t, uint64(1), restored.ConfigSnapshot().Revision, "a resend creates no revision")
 }
+
+// drainOf returns a change that drains a data centre.
+func drainOf(id, name string) *apiv1.Change {
+	return &apiv1.Change{Id: id, AnyRevision: true, Upserts: []*apiv1.Resource{{Kind: dataCentreKind, Name: name, Spec: []byte(`{"drain":true}`)}}}
+}
+
+// A drain of a data centre must outlive documents, a snapshot, and a document that tries to carry one; a document derived
+// before the drain must still be accepted.
+func TestDocumentNeitherCarriesNorRemovesADrain(t *testing.T) {
+	s := New(nil)
+	submit(t, s, documentOf(1, 0, "one"))
+	require.Equal(t, accepted, submit(t, s, drainOf("drain", "kl")).Result)
+	require.Equal(t, accepted, submit(t, s, documentOf(2, 1, "two")).Result)
+	carrying := documentOf(3, 2, "three")
+	carrying.Upserts = append(carrying.Upserts, drainOf("", "shah-alam").Upserts...)
+	require.Equal(t, invalid, submit(t, s, carrying).Result)
+	data, err := s.Snapshot()
+	require.NoError(t, err)
+	restored := New(nil)
+	require.NoError(t, restored.Restore(data))
+	drained, revision := restored.Resource(dataCentreKind, "kl")
+	require.NotNil(t, drained)
+	require.Equal(t, uint64(3), revision)
+	other, _ := restored.Resource(dataCentreKind, "shah-alam")
+	require.Nil(t, other)
+	require.Equal(t, accepted, submit(t, restored, &apiv1.Change{Id: "undrain", AnyRevision: true, Deletes: []*apiv1.ResourceRef{{Kind: dataCentreKind, Name: "kl"}}}).Result)
+	require.Len(t, restored.ConfigSnapshot().Resources, 1)
+}
+
+// The check of a document must see the drains that stay in force beside it.
+func TestDocumentIsCheckedTogetherWithDrains(t *testing.T) {
+	var checked []string
+	s := New(func(resources []*apiv1.Resource) []string {
+		checked = nil
+		for _, r := range resources {
+			checked = append(checked, r.Name)
+		}
+		return nil
+	})
+	submit(t, s, documentOf(1, 0, "one"))
+	submit(t, s, drainOf("drain", "kl"))
+	submit(t, s, documentOf(2, 1, "two"))
+	require.Equal(t, []string{"kl", "two"}, checked)
+}
