--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -6,6 +6,7 @@
 
 	"github.com/guavaford/guavaford/internal/config"
 	"github.com/guavaford/guavaford/internal/evacuation"
+	"github.com/guavaford/guavaford/internal/policy"
 	"github.com/guavaford/guavaford/internal/registry"
 )
 
@@ -51,6 +52,16 @@
 	return p.board.Configuration.Load().Snapshot.IsDrained(t.DataCentre)
 }
 
+// effectiveTargetsOf returns the targets of a service with the settings of operators; those that they drain are leaving.
+func (p *Process) effectiveTargetsOf(service string) []*registry.Target {
+	announced, snapshot := p.targetsOf(service), p.board.Configuration.Load().Snapshot
+	targets := make([]*registry.Target, 0, len(announced))
+	for _, t := range announced {
+		targets = append(targets, policy.Effective(snapshot, t))
+	}
+	return targets
+}
+
 // countUndrained returns the number of known targets of a service outside of drained data centres.
 func (p *Process) countUndrained(service string) int {
 	count := 0
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -236,7 +236,7 @@
 		LoadTracker: p.loadTracker,
 		OnLeaving:   func(t *registry.Target) { p.local.MarkLeaving(p.env.Clock.Now(), t.Name, t.Started) },
 		Quarantine:  p.quarantine,
-		Targets:     p.targetsOf,
+		Targets:     p.effectiveTargetsOf,
 		OnQuarantine: func() {
 			p.quarantineExchange.notify()
 		},
