--- a/internal/config/datacentre.go
+++ b/internal/config/datacentre.go
@@ -21,6 +21,15 @@
 	return name != "" && len(validation.IsValidLabelValue(name)) == 0
 }
 
+// checkRegions validates the names of regions, which follow the rule of the hosts' settings.
+func checkRegions(regions []string, report func(field, format string, args ...any)) {
+	for _, name := range regions {
+		if !ValidDataCentre(name) {
+			report("regions", "%q is not a region; allowed: %s", name, dataCentreRule)
+		}
+	}
+}
+
 // validResourceName reports whether a document of a kind may have a name, and the rule for such names.
 func validResourceName(kind, name string) (valid bool, rule string) {
 	if kind == KindDataCentre {
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -10,6 +10,7 @@
 	"k8s.io/apimachinery/pkg/labels"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/homeregion"
 )
 
 // Labels that every node adds to the labels that its targets announce, so that
@@ -62,6 +63,8 @@
 	Unlimited bool
 	// Priority is 0 for the most important organisation; it is compared before that of the class.
 	Priority int
+	// Regions are the home regions of its requests; empty allows all.
+	Regions []string
 }
 
 // CallerLimits holds the limits on the connections of callers.
@@ -108,6 +111,8 @@
 	Split []Share
 	// RequireSlash is true when the slash at the end of the prefix must be in the path.
 	RequireSlash bool
+	// Regions are the home regions of its requests; empty allows all.
+	Regions []string
 
 	idempotent *bool
 }
@@ -126,6 +131,14 @@
 	}
 }
 
+// HomeRegions returns the regions in which the route and the organisation, which may be nil, let a request be served.
+func (r *Route) HomeRegions(o *Organisation) homeregion.Regions {
+	if o == nil {
+		return homeregion.Combine(r.Regions, nil)
+	}
+	return homeregion.Combine(r.Regions, o.Regions)
+}
+
 // Services lists the services to which requests of the route may go.
 func (r *Route) Services() []string {
 	if len(r.Split) == 0 {
@@ -197,6 +210,7 @@
 		Rate:      rate.PerSecond,
 		Burst:     rate.Burst,
 		Unlimited: rate.Unlimited,
+		Regions:   o.spec.Regions,
 	}
 	if o.spec.Priority != nil {
 		organisation.Priority = *o.spec.Priority
@@ -246,6 +260,7 @@
 		MaxBody:       DefaultMaxBody,
 		Split:         r.spec.Split,
 		RequireSlash:  r.spec.RequireSlash,
+		Regions:       r.spec.Regions,
 		idempotent:    r.spec.Idempotent,
 	}
 	if r.spec.MaxTargets != nil {
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -98,6 +98,8 @@
 	// KeyDigests are the SHA-256 digests, in hexadecimal, of API keys that are part of the
 	// configuration. Keys that the system issues are stored separately.
 	KeyDigests []string `json:"keyDigests,omitempty" yaml:"keyDigests"`
+	// Regions are the home regions: requests of the organisation reach only targets there; empty allows all regions.
+	Regions []string `json:"regions,omitempty" yaml:"regions"`
 }
 
 func (s *OrganisationSpec) check(report func(field, format string, args ...any)) {
@@ -107,6 +109,7 @@
 	if s.Priority != nil && (*s.Priority < 0 || *s.Priority > MaxPriority) {
 		report("priority", "%d is out of range; allowed: 0 (most important) to %d", *s.Priority, MaxPriority)
 	}
+	checkRegions(s.Regions, report)
 	for _, digest := range s.KeyDigests {
 		if raw, err := hex.DecodeString(digest); err != nil || len(raw) != sha256.Size {
 			report("keyDigests", "%q is not a SHA-256 digest in hexadecimal", digest)
@@ -199,6 +202,8 @@
 	Goal *Duration `json:"goal,omitempty" yaml:"goal"`
 	// Split replaces Service: requests are spread over several services by weight.
 	Split []Share `json:"split,omitempty" yaml:"split"`
+	// Regions are the home regions: requests reach only targets there; empty allows all regions.
+	Regions []string `json:"regions,omitempty" yaml:"regions"`
 }
 
 // Share is a service that receives a weighted share of the requests of a route.
@@ -223,6 +228,7 @@
 	s.checkSplit(report)
 	s.checkHostAndPath(report)
 	s.checkGoalAndMaxTargets(report)
+	checkRegions(s.Regions, report)
 	for _, method := range s.Methods {
 		if !slices.Contains(methods, method) {
 			report("methods", "%q is not a method; allowed: %s", method, strings.Join(methods, ", "))
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -79,7 +80,7 @@
 // pick chooses a target that has not been tried yet.
 func (c *call) pick() (route.Choice, *outcome.Refusal) {
 	origin := c.request.Origin
-	return c.service.picker.Pick(route.Query{
+	choice, refusal := c.service.picker.Pick(route.Query{
 		Accept:       c.accepts,
 		Exclude:      c.tried,
 		Level:        origin.Level,
@@ -87,6 +88,11 @@
 		Route:        origin.Route,
 		Organisation: origin.Organisation,
 	})
+	if refusal != nil && refusal.Code == outcome.NoTarget && c.request.HomeRegions.Restricted() {
+		c.dispatcher.o.Metrics.HomeRegionRefusals.Add(1)
+		refusal.Detail = fmt.Sprintf("no target of the service is available for this call in its home regions (%v)", c.request.HomeRegions)
+	}
+	return choice, refusal
 }
 
 // maxRedirects bounds how often a suspect is sent on to the target that may run it: the gates may know different targets.
@@ -103,8 +109,11 @@
 	return refusal.Ran == outcome.RanNo
 }
 
-// accepts reports whether a target matches the selector of the request.
+// accepts reports whether a target is in the home regions of the request and matches its selector.
 func (c *call) accepts(t *registry.Target) bool {
+	if !c.dispatcher.o.Regions.Allows(c.request.HomeRegions, t.DataCentre) {
+		return false
+	}
 	if c.trialTarget != "" && t.ID() != c.trialTarget {
 		return false
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,8 @@
 // Without proof the answer of the earlier attempt is fetched over a new connection; when that
 // fails too, the outcome is reported as unknown.
 //
+// A request with home regions is sent to no target elsewhere, whatever becomes of its attempts.
+//
 // A gate may name the only target at which a suspected request may run (see quarantine); the next attempt
 // goes there at once.
 //
@@ -43,6 +45,7 @@
 	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/config"
 	"github.com/guavaford/guavaford/internal/gate"
+	"github.com/guavaford/guavaford/internal/homeregion"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/policy"
@@ -81,6 +84,8 @@
 	LogLimiter *telemetry.LogLimiter
 	// LoadTracker, if set, receives the load of services that answers carry.
 	LoadTracker *shed.LoadTracker
+	// Regions holds the region of each data centre.
+	Regions homeregion.Map
 	// Route configures the choice of targets; nil stands for the defaults.
 	Route *route.Config
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -18,6 +18,7 @@
 	"github.com/guavaford/guavaford/internal/callctx"
 	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/gate"
+	"github.com/guavaford/guavaford/internal/homeregion"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/registry"
@@ -97,7 +98,7 @@
 		for _, name := range []string{"a", "b", "c"} {
 			view.Services["s"] = append(view.Services["s"], &registry.Target{
 				Name: name, Service: "s", Node: "node-" + name, NodeAddress: name, Slots: 4, Incarnation: targetIncarnation,
-				State: apiv1.TargetState_TARGET_STATE_READY,
+				DataCentre: "centre-" + name, State: apiv1.TargetState_TARGET_STATE_READY,
 			})
 		}
 		b, err := board.New(blackboard.NewSection(view))
@@ -111,6 +112,7 @@
 			Metrics:    telemetry.NewMetrics(),
 			Log:        telemetry.Discard(),
 			LogLimiter: telemetry.NewLogLimiter(100),
+			Regions:    homeregion.Map{"centre-a": "west", "centre-b": "west", "centre-c": "east"},
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -11,6 +11,7 @@
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/callctx"
 	"github.com/guavaford/guavaford/internal/gate"
+	"github.com/guavaford/guavaford/internal/homeregion"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/quarantine"
 )
@@ -35,7 +36,9 @@
 	MaxTargets int
 	// Idempotent means that running the request twice is harmless.
 	Idempotent bool
-	Body       *Body
+	// HomeRegions are the regions whose targets the request may reach.
+	HomeRegions homeregion.Regions
+	Body        *Body
 }
 
 // Result is the final answer of a call. Its body, if it has one, must be closed.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,6 +47,8 @@
 	Nodes int
 	// DataCentres are assigned to the hosts round-robin.
 	DataCentres []string
+	// Regions holds the region of each data centre.
+	Regions map[string]string
 	// Delay and Jitter apply to each direction between two hosts; see memnet.Link.
 	Delay, Jitter time.Duration
 	// Log receives the log of every node; nil discards it.
@@ -117,6 +119,7 @@
 	s := settings.Default()
 	s.Name = h.Name
 	s.DataCentre = h.DataCentre
+	s.Regions = f.o.Regions
 	s.PeerAddress = h.Name
 	s.DataFolder = "data"
 	if h.replica {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -76,6 +76,7 @@
 			Replicas:    3,
 			Nodes:       3,
 			DataCentres: []string{"kl", "shah-alam", "putrajaya"},
+			Regions:     map[string]string{"kl": "west", "shah-alam": "west", "putrajaya": "east"},
 			Delay:       500 * time.Microsecond,
 			Jitter:      200 * time.Microsecond,
 			Log:         logger(),
--- a/internal/gateway/direct.go
+++ b/internal/gateway/direct.go
@@ -339,6 +339,7 @@
 		Idempotent:    idempotent,
 		MaxTargets:    max(a.route.MaxTargets, 1),
 		MaxWait:       maxWait,
+		HomeRegions:   a.route.HomeRegions(a.organisation),
 		Body:          body,
 	})
 }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -147,14 +147,15 @@
 		return dispatch.RefusedResult(refusal)
 	}
 	r := &dispatch.Request{
-		Origin:     in.origin,
-		Service:    in.route.Service,
-		Selector:   in.route.Selector,
-		Method:     in.request.Method,
-		Path:       in.path,
-		Headers:    headers.ForwardedRequestFields(in.request.Header, in.secret),
-		Idempotent: in.route.Idempotent(in.request.Method),
-		Body:       body,
+		Origin:      in.origin,
+		Service:     in.route.Service,
+		Selector:    in.route.Selector,
+		Method:      in.request.Method,
+		Path:        in.path,
+		Headers:     headers.ForwardedRequestFields(in.request.Header, in.secret),
+		Idempotent:  in.route.Idempotent(in.request.Method),
+		HomeRegions: in.route.HomeRegions(e.o.Board.Configuration.Load().Snapshot.Organisations[in.origin.Organisation]),
+		Body:        body,
 	}
 	key := in.request.Header.Get(headers.IdempotencyKey)
 	if key == "" || r.Idempotent || !in.origin.HasKey() {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -20,6 +20,7 @@
 	"github.com/guavaford/guavaford/internal/gate"
 	"github.com/guavaford/guavaford/internal/gateway"
 	"github.com/guavaford/guavaford/internal/headers"
+	"github.com/guavaford/guavaford/internal/homeregion"
 	"github.com/guavaford/guavaford/internal/http1"
 	"github.com/guavaford/guavaford/internal/operator"
 	"github.com/guavaford/guavaford/internal/peer"
@@ -258,6 +259,7 @@
 		Log:         p.env.Log,
 		LogLimiter:  p.logLimit,
 		LoadTracker: p.loadTracker,
+		Regions:     homeregion.Map(s.Regions).With(s.DataCentre, s.Region),
 		Route:       p.routeConfig(),
 	})
 	identity := rate.Identity{Node: p.env.identity.Node, Incarnation: p.env.identity.Incarnation}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -98,6 +98,7 @@
 		"node", s.Name,
 		"data_centre", s.DataCentre,
 		"region", s.Region,
+		"regions", s.Regions,
 		"callers_address", s.CallersAddress,
 		"targets_address", s.TargetsAddress,
 		"operator_address", s.OperatorAddress,
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +16,7 @@
 	flagName              = "name"
 	flagDataCentre        = "data-centre"
 	flagRegion            = "region"
+	flagRegions           = "regions"
 	flagCallersAddress    = "callers-address"
 	flagTargetsAddress    = "targets-address"
 	flagOperatorAddress   = "operator-address"
@@ -38,6 +41,8 @@
 		text(flagName, &n.Name, "name of this node, unique in the fleet; made from --peer-address when empty"),
 		text(flagDataCentre, &n.DataCentre, "data centre of this host"),
 		text(flagRegion, &n.Region, "region of this host"),
+		&cli.GenericFlag{Name: flagRegions, Value: &mapValue{&n.Regions}, Usage: "regions of all data centres, as DATA-CENTRE=REGION, separated by commas",
+			Sources: source(flagRegions)},
 		text(flagCallersAddress, &n.CallersAddress, "IP number and port for callers"),
 		text(flagTargetsAddress, &n.TargetsAddress, "IP number and port for the targets of this host"),
 		text(flagOperatorAddress, &n.OperatorAddress, "IP number and port for operators"),
@@ -109,6 +114,40 @@
 // Get returns the list.
 func (v *listValue) Get() any { return *v.destination }
 
+// mapValue is the value of a flag that holds pairs KEY=VALUE separated by commas. If the flag is given twice, the last
+// one counts.
+type mapValue struct {
+	destination *map[string]string
+}
+
+// Set parses the pairs. One without a value gets an empty one, which Node.Check reports.
+func (v *mapValue) Set(s string) error {
+	values := map[string]string{}
+	for _, pair := range strings.Split(s, ",") {
+		if trimmed := strings.TrimSpace(pair); trimmed != "" {
+			key, value, _ := strings.Cut(trimmed, "=")
+			values[strings.TrimSpace(key)] = strings.TrimSpace(value)
+		}
+	}
+	*v.destination = values
+	return nil
+}
+
+// String returns the pairs in the form that Set parses, sorted by key.
+func (v *mapValue) String() string {
+	if v.destination == nil {
+		return ""
+	}
+	pairs := make([]string, 0, len(*v.destination))
+	for _, key := range slices.Sorted(maps.Keys(*v.destination)) {
+		pairs = append(pairs, key+"="+(*v.destination)[key])
+	}
+	return strings.Join(pairs, ",")
+}
+
+// Get returns the map.
+func (v *mapValue) Get() any { return *v.destination }
+
 // durationValue is the value of a flag that holds a duration. It stores what can't be parsed as a problem for
 // Node.Check, so that all problems are reported at once.
 type durationValue struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,8 @@
 	// DataCentre and Region are the location of the host.
 	DataCentre string
 	Region     string
+	// Regions maps the data centres of the fleet to their regions. For the own one, Region is enough.
+	Regions map[string]string
 	// CallersAddress is where the node listens for requests of callers.
 	CallersAddress string
 	// TargetsAddress is where the node listens for announcements of the targets on this host and for the calls that
@@ -239,10 +241,20 @@
 	for _, name := range []struct{ setting, value string }{
 		{flagName, n.Name}, {flagDataCentre, n.DataCentre}, {flagRegion, n.Region},
 	} {
-		if name.value == "" || len(validation.IsValidLabelValue(name.value)) > 0 {
+		if !validName(name.value) {
 			report(name.setting, name.value, rule)
 		}
 	}
+	for dataCentre, region := range n.Regions {
+		if !validName(dataCentre) || !validName(region) {
+			report(flagRegions, dataCentre+"="+region, "DATA-CENTRE=REGION, each with "+rule)
+		}
+	}
+}
+
+// validName reports whether a name of a node, data centre or region is allowed.
+func validName(name string) bool {
+	return name != "" && len(validation.IsValidLabelValue(name)) == 0
 }
 
 // nodeName derives the name of a node from its peer address.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,6 +37,18 @@
 	require.Equal(t, []string{"10.0.0.1:1", "10.0.0.2:1"}, n.Control)
 }
 
+// TestRegionsOfDataCentres guards against a region that a node does not know although the settings name it.
+func TestRegionsOfDataCentres(t *testing.T) {
+	n := parse(t, "--regions", "kl=west, KUCHING_1=east")
+	require.Equal(t, map[string]string{"kl": "west", "KUCHING_1": "east"}, n.Regions)
+	require.Empty(t, n.Check())
+	for _, invalid := range []string{"kl", "kl=", "=west", "k l=west", "kl=we/st"} {
+		problems := parse(t, "--regions", invalid).Check()
+		require.Len(t, problems, 1, invalid)
+		require.Equal(t, "regions", problems[0].Setting)
+	}
+}
+
 // TestAllProblemsAreReportedAtOnce guards against a check that stops at the first invalid setting, or at a value that
 // can't be parsed.
 func TestAllProblemsAreReportedAtOnce(t *testing.T) {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -32,6 +32,8 @@
 	// Trials counts runs of suspects on trial, QuarantineRefusals the calls refused since their request is quarantined.
 	Trials             atomic.Int64
 	QuarantineRefusals atomic.Int64
+	// HomeRegionRefusals counts calls for which no target was left in the home regions of their request.
+	HomeRegionRefusals atomic.Int64
 	// InFlight is the number of requests running at targets of this host.
 	InFlight atomic.Int64
 
@@ -112,6 +114,8 @@
 			"quarantined":         m.Quarantined.Load(),
 			"suspect_trials":      m.Trials.Load(),
 			"quarantine_refusals": m.QuarantineRefusals.Load(),
+
+			"home_region_refusals": m.HomeRegionRefusals.Load(),
 		},
 		Refusals:  make(map[string]int64, len(m.refusals)),
 		Gauges:    map[string]float64{"in_flight": float64(m.InFlight.Load())},
