--- a/internal/shed/drain_test.go
+++ b/internal/shed/drain_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/registry"
 )
 
 // learnLoads reports the loads of the targets of a service, as their answers do.
@@ -114,3 +115,54 @@
 	}
 	require.Fail(t, "no report of the service below")
 }
+
+// drainZone drains the target of a data centre. If told is set, the nodes account for its capacity.
+func (z *zoneSim) drainZone(zone int, told bool) {
+	var records []*registry.Target
+	for i, t := range z.targets {
+		record := *t.record
+		if i == zone {
+			record.State = apiv1.TargetState_TARGET_STATE_LEAVING
+		}
+		records = append(records, &record)
+		t.record = &record
+	}
+	drained := map[string]bool{z.targets[zone].record.ID(): true}
+	concentration := float64(len(z.targets)) / float64(len(z.targets)-1)
+	for _, e := range z.entries {
+		e.picker.Update(records)
+		if told {
+			e.relay.SetDrained(z.now, "s", drained, concentration)
+		}
+	}
+	for _, t := range z.targets {
+		if told {
+			t.relay.SetDrained(z.now, "s", drained, concentration)
+		}
+	}
+}
+
+// TestEntriesFollowADrainWithinItsFirstSecond guards against entries that go on admitting for a drained data centre: the
+// gates of the others refuse the surplus, or keep it in queues. The demand fits three data centres and is a quarter
+// above what two can do. The same drain without its capacity being accounted for is the reference.
+func TestEntriesFollowADrainWithinItsFirstSecond(t *testing.T) {
+	const serviceTime = 60 * time.Millisecond
+	capacity := 2 * zoneSlots / serviceTime.Seconds()
+	surplus, served := map[bool]float64{}, map[bool]int{}
+	for _, told := range []bool{false, true} {
+		z := newZoneSim(serviceTime, serviceTime, serviceTime)
+		z.run(5*time.Second, 280, 280, 280)
+		z.reset()
+		z.drainZone(2, told)
+		z.run(time.Second, 280, 280, 280)
+		admitted := 0
+		for _, e := range z.entries {
+			admitted += e.admitted
+		}
+		surplus[told] = float64(admitted) - capacity
+		served[told] = z.targets[0].done + z.targets[1].done
+		t.Logf("told %v: %d admitted, %.0f more than two data centres do, %d served", told, admitted, surplus[told], served[told])
+	}
+	require.Less(t, surplus[true], 0.7*surplus[false])
+	require.Greater(t, float64(served[true]), 0.95*float64(served[false]), "capacity that is left stays unused")
+}
