--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -38,7 +38,12 @@
 
 // Tracker holds the state at the last update. The zero value is ready to use. It is not safe for concurrent use.
 type Tracker struct {
-	services map[string]serviceState
+	// services and snapshot are those of the last update, which must not be modified.
+	services map[string][]*registry.Target
+	snapshot *config.Snapshot
+	// states are computed from them, nil while no data centre is drained: a registry changes often, and few
+	// deployments drain.
+	states map[string]serviceState
 }
 
 // serviceState holds the drained targets of a service.
@@ -51,16 +56,25 @@
 // Update compares the targets of all known services under a configuration with those of the last update. It returns the
 // services whose drained targets have changed, ordered by name.
 func (t *Tracker) Update(services map[string][]*registry.Target, snapshot *config.Snapshot) []Change {
-	next := make(map[string]serviceState, len(services))
+	before, previous := t.states, t.snapshot
+	if len(snapshot.DrainedDataCentres()) == 0 && before == nil {
+		t.services, t.snapshot = services, snapshot
+		return nil
+	}
+	if before == nil && previous != nil {
+		before = statesOf(t.services, previous)
+	}
+	after := statesOf(services, snapshot)
 	var changes []Change
-	for name, targets := range services {
-		state := stateOf(targets, snapshot)
-		next[name] = state
-		if change, changed := compare(name, t.services[name], state); changed {
+	for name, state := range after {
+		if change, changed := compare(name, before[name], state); changed {
 			changes = append(changes, change)
 		}
 	}
-	t.services = next
+	t.services, t.snapshot, t.states = services, snapshot, after
+	if len(snapshot.DrainedDataCentres()) == 0 {
+		t.states = nil
+	}
 	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Service, b.Service) })
 	return changes
 }
@@ -68,12 +82,21 @@
 // Drained returns the number of targets in drained data centres, over all services.
 func (t *Tracker) Drained() int {
 	count := 0
-	for _, state := range t.services {
+	for _, state := range t.states {
 		count += len(state.drained)
 	}
 	return count
 }
 
+// statesOf returns the states of all services.
+func statesOf(services map[string][]*registry.Target, snapshot *config.Snapshot) map[string]serviceState {
+	states := make(map[string]serviceState, len(services))
+	for name, targets := range services {
+		states[name] = stateOf(targets, snapshot)
+	}
+	return states
+}
+
 // stateOf returns the state of a service with these targets.
 func stateOf(targets []*registry.Target, snapshot *config.Snapshot) serviceState {
 	state := serviceState{drained: map[string]bool{}, slots: make(map[string]int, len(targets))}
