--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -10,6 +10,7 @@
 	"k8s.io/apimachinery/pkg/labels"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/homeregion"
 )
 
 // Labels that every node adds to the labels that its targets announce, so that
@@ -44,6 +45,8 @@
 	serviceRoutes map[string]routeTable
 	// targetDocuments holds the Target documents by service, each in the order in which they apply.
 	targetDocuments map[string][]*targetDocument
+	// drainedDataCentres holds the data centres that operators drain.
+	drainedDataCentres map[string]bool
 }
 
 // Organisation is a tenant with the rate limit from its Rate document.
@@ -60,6 +63,8 @@
 	Unlimited bool
 	// Priority is 0 for the most important organisation; it is compared before that of the class.
 	Priority int
+	// Regions are the home regions of its requests; empty allows all.
+	Regions []string
 }
 
 // CallerLimits holds the limits on the connections of callers.
@@ -106,6 +111,8 @@
 	Split []Share
 	// RequireSlash is true when the slash at the end of the prefix must be in the path.
 	RequireSlash bool
+	// Regions are the home regions of its requests; empty allows all.
+	Regions []string
 
 	idempotent *bool
 }
@@ -124,6 +131,14 @@
 	}
 }
 
+// HomeRegions returns the regions in which the route and the organisation, which may be nil, let a request be served.
+func (r *Route) HomeRegions(o *Organisation) homeregion.Regions {
+	if o == nil {
+		return homeregion.Combine(r.Regions, nil)
+	}
+	return homeregion.Combine(r.Regions, o.Regions)
+}
+
 // Services lists the services to which requests of the route may go.
 func (r *Route) Services() []string {
 	if len(r.Split) == 0 {
@@ -151,6 +166,7 @@
 		callerRoutes:            map[string]routeTable{},
 		serviceRoutes:           map[string]routeTable{},
 		targetDocuments:         map[string][]*targetDocument{},
+		drainedDataCentres:      map[string]bool{},
 		organisationByKeyDigest: map[string]*Organisation{},
 		CallerLimits:            docs.callerLimits(),
 	}
@@ -171,6 +187,11 @@
 	for _, t := range docs.targets {
 		s.targetDocuments[t.spec.Service] = append(s.targetDocuments[t.spec.Service], newTargetDocument(t))
 	}
+	for _, d := range docs.dataCentres {
+		if d.spec.Drain {
+			s.drainedDataCentres[d.name] = true
+		}
+	}
 	s.sort()
 	return s
 }
@@ -189,6 +210,7 @@
 		Rate:      rate.PerSecond,
 		Burst:     rate.Burst,
 		Unlimited: rate.Unlimited,
+		Regions:   o.spec.Regions,
 	}
 	if o.spec.Priority != nil {
 		organisation.Priority = *o.spec.Priority
@@ -238,6 +260,7 @@
 		MaxBody:       DefaultMaxBody,
 		Split:         r.spec.Split,
 		RequireSlash:  r.spec.RequireSlash,
+		Regions:       r.spec.Regions,
 		idempotent:    r.spec.Idempotent,
 	}
 	if r.spec.MaxTargets != nil {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +20,7 @@
 	"github.com/guavaford/guavaford/internal/gate"
 	"github.com/guavaford/guavaford/internal/gateway"
 	"github.com/guavaford/guavaford/internal/headers"
+	"github.com/guavaford/guavaford/internal/homeregion"
 	"github.com/guavaford/guavaford/internal/http1"
 	"github.com/guavaford/guavaford/internal/operator"
 	"github.com/guavaford/guavaford/internal/peer"
@@ -136,6 +138,8 @@
 	quarantineExchange *quarantineExchange
 	// loadTracker holds the loads of services that this node knows; nil without a direct entry.
 	loadTracker *shed.LoadTracker
+	// drainedTargets is the number of known targets in drained data centres.
+	drainedTargets atomic.Int64
 	// callIndex finds the calls that run at this host's targets by their request ids; nil without a direct entry.
 	callIndex *callctx.CallIndex
 	// logLimit bounds the log lines about single requests, for all components together.
@@ -236,7 +240,7 @@
 		LoadTracker: p.loadTracker,
 		OnLeaving:   func(t *registry.Target) { p.local.MarkLeaving(p.env.Clock.Now(), t.Name, t.Started) },
 		Quarantine:  p.quarantine,
-		Targets:     p.targetsOf,
+		Targets:     p.effectiveTargetsOf,
 		OnQuarantine: func() {
 			p.quarantineExchange.notify()
 		},
@@ -258,6 +262,7 @@
 		Log:         p.env.Log,
 		LogLimiter:  p.logLimit,
 		LoadTracker: p.loadTracker,
+		Regions:     homeregion.Map(s.Regions).With(s.DataCentre, s.Region),
 		Route:       p.routeConfig(),
 	})
 	identity := rate.Identity{Node: p.env.identity.Node, Incarnation: p.env.identity.Incarnation}
@@ -364,6 +369,7 @@
 	p.goRun("dispatch", func() error { p.dispatcher.Run(ctx); return nil })
 	p.goRun("rate", func() error { p.rates.Run(ctx); return nil })
 	p.goRun("targets", func() error { p.refreshTargets(ctx); return nil })
+	p.goRun("drained data centres", func() error { p.followDrains(ctx); return nil })
 	p.goRun("departures", func() error { p.departures.restore(ctx); return nil })
 	if p.quarantineExchange != nil {
 		p.goRun("quarantine exchange", func() error { p.quarantineExchange.run(ctx); return nil })
