Bound the requests to cold targets by a rate

A target policy may name a cold rate. The gate beside a target that has just started, or says that it is cold, starts no more than that; callers learn it with each answer and send the rest elsewhere.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -47,6 +47,8 @@
 	Verdict ArrivalDecision
 	// Refusal is set when the verdict is Refused.
 	Refusal *outcome.Refusal
+	// epoch is the cold epoch in which the request started.
+	epoch uint64
 }
 
 // QueuedDecision is the final decision on a request that was queued: Started or Refused.
@@ -67,7 +69,10 @@
 	quickTime time.Duration
 	inFlight  int
 	draining  bool
-	// rate bounds the requests that start, as the target asks in its responses.
+	// namedRate is the number of requests per second that the target asks for in its responses; 0 for no limit.
+	namedRate float64
+	cold      coldState
+	// rate bounds the requests that start, by namedRate and the cold rate.
 	rate rateLimit
 	// decisions on queued requests that TakeDecisions has not returned yet.
 	decisions []QueuedDecision
@@ -91,7 +96,8 @@
 
 // SetRateLimit sets how many requests may start in a second; 0 ends the limit.
 func (c *StateMachine) SetRateLimit(now time.Time, perSecond float64) {
-	c.rate.set(now, perSecond)
+	c.namedRate = perSecond
+	c.updateRate(now)
 	c.dispatch(now)
 }
 
@@ -134,11 +140,11 @@
 		c.dispatch(now)
 	}
 	if c.deadlineTooShort(now, &w.Request) {
-		return refuse(outcome.DeadlineTooShort, 0, "less time is left than the service takes")
+		return refuse(c.noTimeCode(), 0, "less time is left than the service takes")
 	}
 	if c.queue.length == 0 && c.mayStart(now) {
 		c.start()
-		return Decision{Verdict: Started}
+		return Decision{Verdict: Started, epoch: c.cold.epoch}
 	}
 	return c.enqueue(now, w)
 }
@@ -155,7 +161,7 @@
 	}
 	if !w.Deadline.IsZero() && now.Add(wait+c.serviceTime.estimate(now)).After(w.Deadline) {
 		c.shedder.refused++
-		return refuse(outcome.DeadlineTooShort, c.retryAfter(now), "the expected queueing and service time exceeds the time left")
+		return refuse(c.noTimeCode(), c.retryAfter(now), "the expected queueing and service time exceeds the time left")
 	}
 	w.queuedAt = now
 	w.QueueDeadline = c.queueDeadline(now, w)
@@ -179,6 +185,9 @@
 	if w.MaxWait > 0 {
 		at = now.Add(w.MaxWait)
 	}
+	if latest := now.Add(coldQueueTime); c.cold.perSecond > 0 && latest.Before(at) {
+		at = latest
+	}
 	if w.Deadline.IsZero() {
 		return at
 	}
@@ -200,12 +209,14 @@
 		return
 	}
 	c.shedder.refused++
-	c.recordDecision(w, refuse(outcome.DeadlineTooShort, c.retryAfter(now), "queued for too long"))
+	c.recordDecision(w, refuse(c.noTimeCode(), c.retryAfter(now), "queued for too long"))
 }
 
 // Finish frees the slot of a request that was started at the given time.
 func (c *StateMachine) Finish(now, started time.Time, res Result) {
-	c.observe(now, now.Sub(started), res)
+	if c.saysOfPresent(started) {
+		c.observe(now, now.Sub(started), res)
+	}
 	c.shedder.finished++
 	if !c.config.NoShedding {
 		c.updateShedder(now)
@@ -228,6 +239,10 @@
 			res.Kind = Failure
 		}
 	}
+	if c.cold.perSecond > 0 {
+		// The latency of a cold target says nothing about its limit once it is warm.
+		return
+	}
 	c.limiter.sample(limitSample{
 		now:      now,
 		ownTime:  max(slotTime-res.Downstream, 0),
@@ -269,7 +284,8 @@
 		Latency:  c.serviceTime.estimate(now),
 		Draining: c.draining,
 
-		RateLimit: c.rate.perSecond,
+		RateLimit: c.namedRate,
+		ColdRate:  c.cold.perSecond,
 	}
 }
 
@@ -301,11 +317,11 @@
 		}
 		if !w.Deadline.IsZero() && now.Add(c.serviceTime.estimate(now)).After(w.Deadline) {
 			c.shedder.refused++
-			c.recordDecision(w, refuse(outcome.DeadlineTooShort, c.retryAfter(now), "queued until less time is left than the service takes"))
+			c.recordDecision(w, refuse(c.noTimeCode(), c.retryAfter(now), "queued until less time is left than the service takes"))
 			continue
 		}
 		c.start()
-		c.recordDecision(w, Decision{Verdict: Started})
+		c.recordDecision(w, Decision{Verdict: Started, epoch: c.cold.epoch})
 	}
 }
 
@@ -330,10 +346,14 @@
 // limit returns how many requests are to run at once: as many as slots allow, or as a rate limit keeps busy.
 func (c *StateMachine) limit(now time.Time) int {
 	slots := c.slotLimit(now)
-	if c.rate.perSecond == 0 || c.serviceTime.samples == 0 {
+	if c.rate.perSecond == 0 || c.serviceTime.samples == 0 && c.cold.perSecond == 0 {
 		return slots
 	}
-	busy := int(math.Ceil(c.rate.perSecond * c.serviceTime.estimate(now).Seconds()))
+	hold := c.serviceTime.estimate(now)
+	if c.serviceTime.samples == 0 {
+		hold = coldServiceTime
+	}
+	busy := int(math.Ceil(c.rate.perSecond * hold.Seconds()))
 	return min(slots, max(busy, 1))
 }
 
@@ -365,6 +385,9 @@
 // queueCap returns how many requests may queue: as many as drain within queueDrainTime, but
 // enough for the random fluctuation of the arrivals, which grows with the root of the limit.
 func (c *StateMachine) queueCap(now time.Time) int {
+	if c.cold.perSecond > 0 {
+		return c.coldQueueCap()
+	}
 	limit := float64(c.limit(now))
 	fluctuation := 2 + 4*math.Sqrt(limit)
 	hold := c.serviceTime.estimate(now)
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/guavaford/guavaford/internal/clock"
@@ -16,6 +17,8 @@
 
 	mu   sync.Mutex
 	core *StateMachine
+	// epoch is that of the core, for permits to compare without the lock.
+	epoch atomic.Uint64
 	// waking is set while a timer will call wake.
 	waking bool
 }
@@ -35,6 +38,8 @@
 type Permit struct {
 	gate    *Controller
 	started time.Time
+	// epoch is the cold epoch in which the permit was given.
+	epoch uint64
 }
 
 // Acquire waits until the request may run. A refusal means that it was not started. When ctx
@@ -97,7 +102,7 @@
 	if d.Refusal != nil {
 		return Permit{}, d.Refusal
 	}
-	return Permit{gate: g, started: now}, nil
+	return Permit{gate: g, started: now, epoch: d.epoch}, nil
 }
 
 // deliver sends the decisions on queued requests to the goroutines that wait, and starts a timer if others wait for the rate limit.
--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -10,7 +10,9 @@
 	// perSecond is the bound; 0 for none.
 	perSecond float64
 	tokens    float64
-	updated   time.Time
+	// maxBurst, if not 0, bounds the requests that may start at once.
+	maxBurst float64
+	updated  time.Time
 }
 
 // set replaces the bound.
@@ -23,7 +25,12 @@
 
 // capacity returns the most requests that may start at once.
 func (l *rateLimit) capacity() float64 {
-	return max(1, l.perSecond*rateBurst.Seconds())
+	burst := max(1, l.perSecond*rateBurst.Seconds())
+	if l.maxBurst > 0 {
+		// A bucket that holds less than one request would let none start.
+		burst = max(1, min(burst, l.maxBurst))
+	}
+	return burst
 }
 
 // advance adds the tokens of the time since the last update.
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/coldstart"
 )
 
 // Request holds the attributes of a request that decide on its admission.
@@ -37,6 +38,10 @@
 	Started   time.Time
 	// FixedLimit derives the limit from the announced slots alone instead of adapting it.
 	FixedLimit bool
+	// Cold is the policy for the time in which the target is cold; the controller itself is told by SetColdRate.
+	Cold coldstart.Policy
+	// ColdBurst is the largest number of requests that may start at once at a cold target; 0 leaves that to the rate limit.
+	ColdBurst float64
 	// NoShedding turns cutoffs off. Requests are then shed early only by the nodes at which they enter the fleet.
 	NoShedding bool
 }
@@ -69,8 +74,10 @@
 	Cutoff   *apiv1.Cutoff
 	Latency  time.Duration
 	Draining bool
-	// RateLimit is the number of requests that may start in a second; 0 for no limit.
+	// RateLimit is the number of requests that may start in a second, as the target names it; 0 for no limit.
 	RateLimit float64
+	// ColdRate is the number of requests that may start in a second while the target is cold; 0 if it is warm.
+	ColdRate float64
 }
 
 // Message returns the load as a message between nodes.
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -35,6 +35,8 @@
 	MaxBody = 1 << 30
 	// MaxWeight bounds the fair-share weight of an organisation.
 	MaxWeight = 1000
+	// MinColdPerSecond is the lowest rate of a cold target: with less it would hardly get a request while it is cold.
+	MinColdPerSecond = 0.5
 	// MaxPerSecond bounds the rate and the burst of an organisation in requests, and the weights of a split.
 	MaxPerSecond = 10_000_000
 	// MinHeader and MaxHeader bound the size limit on request headers, in bytes.
@@ -319,6 +321,8 @@
 	Slots *int `json:"slots,omitempty" yaml:"slots"`
 	// ColdStart is the warm-up time over which a new target's share of the traffic grows to its full size.
 	ColdStart *Duration `json:"coldStart,omitempty" yaml:"coldStart"`
+	// ColdPerSecond caps the requests per second to a cold target: for ColdStart after its start, or as long as it says.
+	ColdPerSecond *float64 `json:"coldPerSecond,omitempty" yaml:"coldPerSecond"`
 	// Drain stops sending new requests to the targets.
 	Drain bool `json:"drain,omitempty" yaml:"drain"`
 	// MaxConnections caps the connections to each target.
@@ -344,6 +348,9 @@
 	if s.ColdStart != nil && (*s.ColdStart < 0 || time.Duration(*s.ColdStart) > MaxTimeout) {
 		report("coldStart", "%v is out of range; allowed: 0s to %v", time.Duration(*s.ColdStart), MaxTimeout)
 	}
+	if s.ColdPerSecond != nil && !(*s.ColdPerSecond >= MinColdPerSecond && *s.ColdPerSecond <= MaxPerSecond) {
+		report("coldPerSecond", "%v is out of range; allowed: %v to %d", *s.ColdPerSecond, MinColdPerSecond, MaxPerSecond)
+	}
 }
 
 // CallersSpec sets limits on the connections of callers.
--- a/internal/config/target.go
+++ b/internal/config/target.go
@@ -21,6 +21,8 @@
 	Slots int
 	// ColdStart is the warm-up time over which a new target's share of the traffic grows to its full size.
 	ColdStart time.Duration
+	// ColdPerSecond is the number of requests per second that a cold target gets; 0 for no limit.
+	ColdPerSecond float64
 	// Draining is true while the target must receive no new requests.
 	Draining bool
 	// MaxConnections caps the connections to the target, and thereby Slots; 0 means no cap.
@@ -115,6 +117,9 @@
 	if spec.ColdStart != nil {
 		p.ColdStart = time.Duration(*spec.ColdStart)
 	}
+	if spec.ColdPerSecond != nil {
+		p.ColdPerSecond = *spec.ColdPerSecond
+	}
 	if spec.MaxConnections != nil {
 		p.MaxConnections = *spec.MaxConnections
 	}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -36,6 +36,8 @@
 	trialTarget string
 	// redirects counts the times that a gate named a trialTarget.
 	redirects int
+	// coldRefusals counts the attempts that the gates of cold targets refused.
+	coldRefusals int
 }
 
 // run makes attempts, bounded by allowance, budget and deadline, until one gives the final answer.
@@ -54,7 +56,7 @@
 		}
 		answer := c.attempt(ctx, choice)
 		refusal = answer.Refusal()
-		if c.redirect(refusal) {
+		if c.redirect(refusal) || c.refusedByCold(answer, refusal) {
 			last = answer
 			continue
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -232,7 +232,7 @@
 	}
 	c := &call{dispatcher: d, service: s, request: r}
 	if r.MaxTargets > 0 {
-		return c.runBounded(ctx)
+		return c.markCold(c.runBounded(ctx))
 	}
-	return c.run(ctx)
+	return c.markCold(c.run(ctx))
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -43,6 +43,8 @@
 	*gate.Answer
 	// Attempts is the number of attempts that this node made.
 	Attempts int
+	// Cold is true if the call was refused because all targets of its service are cold.
+	Cold bool
 	// Replayed is true when the answer was taken from a run record.
 	Replayed bool
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,6 +12,7 @@
 //
 // A target may say in its responses how many requests per second it accepts, and that it leaves.
 // The gate keeps to such notices for the rest of that run of the target.
+// A target may also be cold for a time; until it is warm, the gate starts no more than the cold rate of its policy (see coldstart).
 //
 // When a target crashes, the requests that it ran become suspects: they run on trial only, and one that crashes
 // targets is refused (see quarantine).
@@ -35,6 +36,7 @@
 	"github.com/guavaford/guavaford/internal/callctx"
 	"github.com/guavaford/guavaford/internal/calltable"
 	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/coldstart"
 	"github.com/guavaford/guavaford/internal/headers"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/quarantine"
@@ -79,6 +81,8 @@
 	// LoadTracker, if set, exchanges the load of services between nodes, including those that
 	// the targets of this host call.
 	LoadTracker *shed.LoadTracker
+	// ColdReading, if set, returns the latest reading of the cold time of a target of the host, in the run that started at a time.
+	ColdReading func(name string, started time.Time) (coldstart.Reading, bool)
 	// Quarantine, if set, holds what is known of requests that were in flight when targets crashed.
 	Quarantine *quarantine.Table
 	// Targets returns the targets of a service in the fleet.
@@ -109,6 +113,8 @@
 	reported *reportTimes
 	// notices is what the target has said of itself.
 	notices *notices
+	// cold is for how long the target is cold.
+	cold *targetCold
 	// runs is what the target runs now.
 	runs *runState
 }
@@ -158,7 +164,7 @@
 
 // newEntry returns the entry of a target that is new at this host.
 func (g *Gate) newEntry(config admission.Config) *targetEntry {
-	e := &targetEntry{admission: admission.NewController(config, g.opts.Clock), meter: shed.NewMeter(), reported: &reportTimes{at: map[reportRecipient]time.Time{}}, notices: &notices{}, runs: newRunState()}
+	e := &targetEntry{admission: admission.NewController(config, g.opts.Clock), meter: shed.NewMeter(), reported: &reportTimes{at: map[reportRecipient]time.Time{}}, notices: &notices{}, cold: g.newCold(&registry.Target{}), runs: newRunState()}
 	if g.opts.RepeatLimit.Ratio > 0 {
 		e.repeats = retry.NewBucket(g.opts.RepeatLimit.Ratio, rand.Float64)
 	}
@@ -171,6 +177,9 @@
 
 // capacityOf returns what a target can do by the state of its admission.
 func capacityOf(l admission.Load) shed.Capacity {
+	if l.ColdRate > 0 {
+		return shed.Capacity{PerSecond: l.ColdRate, Cold: true}
+	}
 	return shed.Capacity{Slots: l.Limit, PerSecond: l.RateLimit}
 }
 
@@ -180,10 +189,12 @@
 	load := e.admission.LoadFor(h.GetOrganisation())
 	m := load.Message()
 	m.Leaving = e.notices.isLeaving()
+	e.cold.reportCold(now, m)
 	if g.opts.LoadTracker == nil || !e.reportDue(now, reportRecipient{h.GetKey().GetNode(), h.GetRoute()}) {
 		return m
 	}
-	g.opts.LoadTracker.Observe(now, e.target.Service, e.target.ID(), e.meter.Load(now, capacityOf(load)))
+	capacity := capacityOf(load)
+	g.opts.LoadTracker.ObserveTarget(now, e.target.Service, e.target.ID(), shed.TargetLoad{Load: e.meter.Load(now, capacity), Cold: capacity.Cold})
 	m.Pressures = g.opts.LoadTracker.Report(now, workOf(h))
 	return m
 }
@@ -219,11 +230,13 @@
 	e, ok := g.targets[t.Name]
 	if !ok || e.target.Incarnation != t.Incarnation || e.target.Address != t.Address || !e.target.Started.Equal(t.Started) {
 		e = g.newEntry(config)
+		e.cold = g.newCold(t)
 	} else {
-		e = &targetEntry{admission: e.admission, meter: e.meter, repeats: e.repeats, reported: e.reported, notices: e.notices, runs: e.runs}
+		e = &targetEntry{admission: e.admission, meter: e.meter, repeats: e.repeats, reported: e.reported, notices: e.notices, cold: e.cold, runs: e.runs}
 		e.admission.Configure(config)
 	}
 	e.target = t
+	e.setColdPolicy(config.Cold)
 	leaving := t.State == apiv1.TargetState_TARGET_STATE_LEAVING || g.opts.Policies.Draining(t)
 	e.setDraining(leaving || g.closing)
 	return e
--- a/internal/gate/notices.go
+++ b/internal/gate/notices.go
@@ -45,6 +45,7 @@
 	if names.RateLimit != "" {
 		x.observeRateLimit(header.Get(names.RateLimit))
 	}
+	x.observeColdNotice(header)
 	if names.Leaving != "" && header.Get(names.Leaving) == "1" {
 		x.observeLeaving()
 	}
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -113,6 +113,10 @@
 		x.end(admission.Cancelled)
 		return nil, outcome.NotRun(outcome.BadRequest, 0, "%v", err)
 	}
+	if refusal := x.confirmStart(); refusal != nil {
+		x.end(admission.Cancelled)
+		return nil, refusal
+	}
 	resp, err := x.gate.opts.Transport.RoundTrip(req)
 	if err == nil {
 		if resp.StatusCode != http.StatusMisdirectedRequest {
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 	"unicode/utf8"
 
 	"github.com/gorilla/mux"
@@ -51,6 +52,8 @@
 	Slots uint32 `json:"slots"`
 	// State is ready, cold or leaving; empty means ready.
 	State string `json:"state"`
+	// ColdLeftMs is how much longer the target is cold, in milliseconds; left out if it does not say.
+	ColdLeftMs *uint32 `json:"cold_left_ms"`
 	// Instance identifies one process of the target, so that a restart can be recognised; it may be empty.
 	Instance string `json:"instance"`
 	// Health and Load are paths at which the node may query the target; both are optional hints.
@@ -121,6 +124,14 @@
 	if !ok {
 		return registry.Announcement{}, outcome.NotRun(outcome.BadRequest, 0, "state %q is not one of ready, cold and leaving", a.State)
 	}
+	var coldLeft *time.Duration
+	if a.ColdLeftMs != nil {
+		left := time.Duration(*a.ColdLeftMs) * time.Millisecond
+		coldLeft = &left
+		if left > 0 && state == apiv1.TargetState_TARGET_STATE_READY {
+			state = apiv1.TargetState_TARGET_STATE_COLD
+		}
+	}
 	return registry.Announcement{
 		Name:       name,
 		Service:    a.Service,
@@ -129,6 +140,7 @@
 		Slots:      int(a.Slots),
 		State:      state,
 		Instance:   a.Instance,
+		ColdLeft:   coldLeft,
 		HealthPath: a.Health,
 		LoadPath:   a.Load,
 	}, nil
--- a/internal/gateway/direct.go
+++ b/internal/gateway/direct.go
@@ -42,6 +42,8 @@
 	Log     telemetry.Logger
 	// LogLimiter limits the rate of log lines about individual requests.
 	LogLimiter *telemetry.LogLimiter
+	// WarmIn, if set, returns the time until the first target of a service is warm; 0 if there is a warm one.
+	WarmIn func(service string) time.Duration
 }
 
 // CombinedHandler serves the requests of callers and the calls of the host's own target at one address. Both are routed
@@ -63,6 +65,9 @@
 	queueWaitShare = 0.125
 	// retryAfterShare is the maximum Retry-After, as a fraction of the time left until the deadline.
 	retryAfterShare = 1.0 / 3
+	// coldRetryAfterShare is the same for requests refused because all targets are cold: a retry before the first is warm would most
+	// likely be refused as well.
+	coldRetryAfterShare = 0.8
 	// retryAfterJitter is the maximum jitter added to Retry-After, as a fraction of it, so that callers refused at the
 	// same time don't retry at the same time.
 	retryAfterJitter = 0.5
@@ -79,6 +84,8 @@
 	origin  *callctx.Origin
 	// organisation is nil for requests without a key and on open routes.
 	organisation *config.Organisation
+	// cold is true if the request was refused because all targets of a service are cold.
+	cold bool
 }
 
 // Serve handles one request and returns its response.
@@ -89,6 +96,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.origin.Deadline)
 	result := a.run(ctx)
+	a.cold = a.cold || result.Cold
 	response := a.respond(ctx, result)
 	if response.Stream == nil {
 		cancel()
@@ -252,10 +260,11 @@
 }
 
 // recordOutcome records whether a call of the host's own target was refused. A call that the target itself cancelled is
-// not counted, as it says nothing about the called service.
+// not counted, as it says nothing about the called service. Nor is one that cold targets had no room for: the load of the service shows that,
+// and a service that is cold for a moment must not count as one that loses its calls.
 func (a *arrival) recordOutcome(result *dispatch.Result) {
 	refusal := result.Refusal()
-	if refusal != nil && refusal.Code == outcome.Cancelled {
+	if refusal != nil && (refusal.Code == outcome.Cancelled || result.Cold) {
 		return
 	}
 	a.o.LoadTracker.CallEnded(a.o.Clock.Now(), a.service, refusal != nil)
@@ -300,7 +309,13 @@
 		return outcome.NotRun(outcome.Overloaded, lostRetryAfter, "%.2f calls to service %s, which loses many (%v old); the request would finish with chance %.3f",
 			decision.Calls, decision.Service, decision.Age, decision.SuccessProbability)
 	}
-	return outcome.NotRun(outcome.Overloaded, shedRetryAfter, "%.2f calls to service %s, which has load %.2f (%v old); %.0f%% enters",
+	retryAfter := shedRetryAfter
+	if a.o.WarmIn != nil {
+		if left := a.o.WarmIn(decision.Service); left > 0 {
+			retryAfter, a.cold = max(retryAfter, left), true
+		}
+	}
+	return outcome.NotRun(outcome.Overloaded, retryAfter, "%.2f calls to service %s, which has load %.2f (%v old); %.0f%% enters",
 		decision.Calls, decision.Service, decision.Load, decision.Age, 100*decision.Share)
 }
 
@@ -450,7 +465,11 @@
 		return after
 	}
 	left := a.origin.Deadline.Sub(a.o.Clock.Now())
-	return min(after, time.Duration(retryAfterShare*float64(left)))
+	share := retryAfterShare
+	if a.cold {
+		share = coldRetryAfterShare
+	}
+	return min(after, time.Duration(share*float64(left)))
 }
 
 // logRefusal logs a refusal with its reason, at a limited rate.
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -31,6 +31,8 @@
 	RateLimit = "Guavaford-Rate-Limit"
 	// Leaving marks the responses of a target that is about to leave.
 	Leaving = "Guavaford-Leaving"
+	// ColdLeftMs is, in responses of a target, the time in milliseconds until it is warm.
+	ColdLeftMs = "Guavaford-Cold-Left-Ms"
 	// IdempotencyKey makes a non-idempotent request safe to resend.
 	IdempotencyKey = "Idempotency-Key"
 	// IdempotencyReplayed marks a response that was taken from the stored record of an earlier request with the same
@@ -58,6 +60,8 @@
 	RateLimit string
 	// Leaving marks, with the value 1, the responses of a target that is about to leave.
 	Leaving string
+	// ColdMs carries, in responses of a target, the time in milliseconds until it is warm.
+	ColdMs string
 	// ParentID, if set, derives from the id of a call the id of the request on whose behalf a target makes it; empty
 	// if the id doesn't contain one. The result is only a hint, since a target may send any id.
 	ParentID func(id string) string
@@ -67,7 +71,7 @@
 
 // DefaultNames returns the names of the system's own interface.
 func DefaultNames() Names {
-	return Names{RequestID: RequestID, TimeoutMs: TimeoutMs, Organisation: Organisation, Handle: Handle, RateLimit: RateLimit, Leaving: Leaving}
+	return Names{RequestID: RequestID, TimeoutMs: TimeoutMs, Organisation: Organisation, Handle: Handle, RateLimit: RateLimit, Leaving: Leaving, ColdMs: ColdLeftMs}
 }
 
 // Set sets a field unless its name or value is empty.
--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -91,6 +91,7 @@
 		Metrics:     p.env.metrics,
 		Log:         p.env.Log,
 		LogLimiter:  p.logLimit,
+		WarmIn:      p.dispatcher.WarmIn,
 	})
 	limits := func() http1.Limits {
 		l := p.board.Configuration.Load().Snapshot.CallerLimits
@@ -218,7 +219,7 @@
 			}
 			p.env.Log.Info("target load", "target", t.Target.Name, "service", t.Target.Service, "load", t.Reading.Load,
 				"arrivals_per_s", t.Reading.ArrivalsPerSecond, "held", t.Reading.MeanServiceTime,
-				"in_flight", t.Load.InFlight, "queued", t.Load.Queued, "limit", t.Load.Limit, "rate_limit", t.Load.RateLimit)
+				"in_flight", t.Load.InFlight, "queued", t.Load.Queued, "limit", t.Load.Limit, "rate_limit", t.Load.RateLimit, "cold_rate", t.Load.ColdRate)
 		}
 	}
 }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -220,8 +220,9 @@
 		p.quarantineExchange = newQuarantineExchange(p)
 	}
 	p.gate = gate.New(gate.Options{
-		KeyChecker:  p.keyChecker,
-		Policies:    policy.AdmissionResolver{Configuration: p.board.Configuration, EntryShedding: p.loadTracker != nil},
+		KeyChecker: p.keyChecker,
+		Policies: policy.AdmissionResolver{Configuration: p.board.Configuration, EntryShedding: p.loadTracker != nil,
+			ColdExcess: s.ColdExcess, ColdSlack: s.ColdSlack},
 		Handles:     handles,
 		CallIndex:   p.callIndex,
 		Clock:       p.env.Clock,
@@ -231,6 +232,7 @@
 		Transport:   p.env.TargetTransport,
 		HeaderNames: p.env.HeaderNames,
 		LoadTracker: p.loadTracker,
+		ColdReading: p.local.ColdReading,
 		OnLeaving:   func(t *registry.Target) { p.local.MarkLeaving(p.env.Clock.Now(), t.Name, t.Started) },
 		Quarantine:  p.quarantine,
 		Targets:     p.targetsOf,
@@ -239,6 +241,7 @@
 		},
 		RepeatLimit: gate.RepeatLimit{Ratio: s.RepeatRatio, Reserve: s.RepeatReserve, Window: s.RepeatWindow, Targets: p.countTargets},
 	})
+	p.local.OnColdReading(p.gate.ObserveCold)
 	registerGate(p.peers, p.env.identity, p.gate)
 	if p.loadTracker != nil || p.quarantineExchange != nil {
 		registerLoads(p.peers, p.loadTracker, p.quarantineExchange, p.env.Clock)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -59,6 +59,15 @@
 	m.SetGauge("local_targets", func() float64 { return float64(len(p.gate.Loads())) })
 	m.SetGauge("admission_limit", func() float64 { return p.sumTargets(func(t operator.LocalTarget) int { return t.Limit }) })
 	m.SetGauge("leased_tokens", p.leasedTokens)
+	m.SetGauge("cold_targets", func() float64 {
+		cold := 0.0
+		for _, t := range p.gate.Loads() {
+			if t.Load.ColdRate > 0 {
+				cold++
+			}
+		}
+		return cold
+	})
 	m.SetGauge("queued", func() float64 { return p.sumTargets(func(t operator.LocalTarget) int { return t.Queued }) })
 	p.setControlGauges()
 	m.SetTraffic(p.Traffic)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -7,6 +7,7 @@
 	"github.com/guavaford/guavaford/internal/admission"
 	"github.com/guavaford/guavaford/internal/blackboard"
 	"github.com/guavaford/guavaford/internal/board"
+	"github.com/guavaford/guavaford/internal/coldstart"
 	"github.com/guavaford/guavaford/internal/config"
 	"github.com/guavaford/guavaford/internal/registry"
 )
@@ -24,6 +25,7 @@
 	effective := *t
 	effective.Labels = settings.Labels
 	effective.Slots = settings.Slots
+	effective.Cold = coldPolicy(settings)
 	if settings.Draining {
 		effective.State = apiv1.TargetState_TARGET_STATE_LEAVING
 	}
@@ -36,16 +38,56 @@
 	// EntryShedding is true if entries refuse new requests by the load of downstream services. Gates then use
 	// the announced slots as a fixed limit and do not shed requests themselves.
 	EntryShedding bool
+	// ColdExcess and ColdSlack bound the requests to a cold target in any second: its rate times ColdExcess, and ColdSlack
+	// more. 0 stands for the defaults.
+	ColdExcess, ColdSlack float64
+}
+
+const (
+	// DefaultColdExcess and DefaultColdSlack are the defaults of the bound on requests to a cold target.
+	DefaultColdExcess = 1.5
+	DefaultColdSlack  = 8
+	// unconfiguredColdPerSecond is the rate of a target that says that it is cold to a process that has no configuration yet. Some rate
+	// must apply until then, and it is low so that it is hardly above any configured one.
+	unconfiguredColdPerSecond = 5
+)
+
+// coldPolicy returns the policy for the time in which a target is cold.
+func coldPolicy(settings config.TargetPolicy) coldstart.Policy {
+	if settings.ColdPerSecond == 0 {
+		return coldstart.Policy{}
+	}
+	return coldstart.Policy{Duration: settings.ColdStart, PerSecond: settings.ColdPerSecond}
+}
+
+// coldBurst returns how many requests may start at once at a cold target, so that no second is above the bound.
+func (a AdmissionResolver) coldBurst(perSecond float64) float64 {
+	excess, slack := a.ColdExcess, a.ColdSlack
+	if excess == 0 && slack == 0 {
+		excess, slack = DefaultColdExcess, DefaultColdSlack
+	}
+	return (excess-1)*perSecond + slack
 }
 
 // Admission returns the admission settings of a target.
 func (a AdmissionResolver) Admission(t *registry.Target) admission.Config {
-	settings := Resolve(a.Configuration.Load().Snapshot, t)
+	configuration := a.Configuration.Load()
+	settings := Resolve(configuration.Snapshot, t)
+	cold := coldPolicy(settings)
+	if configuration.Revision == 0 {
+		cold.PerSecond = unconfiguredColdPerSecond
+	}
+	if cold.PerSecond > 0 {
+		// The rate replaces the ramp: it bounds the cold target, which takes its full load once it is warm.
+		settings.ColdStart = 0
+	}
 	return admission.Config{
 		Service:    t.Service,
 		Slots:      settings.Slots,
 		ColdStart:  settings.ColdStart,
 		Started:    t.Started,
+		Cold:       cold,
+		ColdBurst:  a.coldBurst(cold.PerSecond),
 		FixedLimit: a.EntryShedding,
 		NoShedding: a.EntryShedding,
 	}
--- a/internal/registry/local.go
+++ b/internal/registry/local.go
@@ -11,6 +11,7 @@
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/blackboard"
+	"github.com/guavaford/guavaford/internal/coldstart"
 	"github.com/guavaford/guavaford/internal/outcome"
 )
 
@@ -41,6 +42,10 @@
 	State apiv1.TargetState
 	// Instance distinguishes a process of the target from earlier and later ones; it may be empty.
 	Instance string
+	// ColdLeft is how much longer the target is cold; nil if it does not say.
+	ColdLeft *time.Duration
+	// cold is ColdLeft with its time of arrival.
+	cold *coldstart.Reading
 	// departed is set if the target reports that it leaves; state LEAVING may have another cause.
 	departed bool
 	// HealthPath and LoadPath are optional HTTP paths at Address that report health and load.
@@ -90,6 +95,9 @@
 	tombstones map[string]*localTombstone
 	// lastReports holds the last accepted report of each target that numbers its reports.
 	lastReports map[string]lastReport
+	// cold holds the latest readings of the cold times of announced targets, and onCold is called for each.
+	cold   map[string]localCold
+	onCold func(name string, started time.Time, r coldstart.Reading)
 	// restored is set once reports need not be held back any more; held holds those that are.
 	restored bool
 	held     map[string]heldReport
@@ -118,6 +126,7 @@
 
 		tombstones:  make(map[string]*localTombstone),
 		lastReports: make(map[string]lastReport),
+		cold:        make(map[string]localCold),
 		restored:    !o.AwaitRestore,
 		held:        make(map[string]heldReport),
 	}
@@ -135,9 +144,14 @@
 	if refusal := checkAnnouncement(a); refusal != nil {
 		return nil, refusal
 	}
+	a.cold = a.coldReading(now, 0)
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.announce(now, a, time.Time{})
+	target, refusal := l.announce(now, a, time.Time{})
+	l.mu.Unlock()
+	if refusal == nil {
+		l.tellCold(a.Name)
+	}
+	return target, refusal
 }
 
 // announce applies a valid announcement. A process that does not say when it started counts from its first announcement. The caller
@@ -149,6 +163,7 @@
 	entry := l.entries[a.Name]
 	if entry != nil && sameAnnouncement(entry.target.Announcement, a) {
 		entry.expires = now.Add(l.options.TTL)
+		l.noteCold(a, entry.target.Started)
 		return &entry.target.Target, nil
 	}
 	if entry == nil && len(l.entries) >= maxLocalTargets {
@@ -162,6 +177,7 @@
 		started = now
 	}
 	l.version++
+	l.noteCold(a, started)
 	l.dropAddress(a)
 	target := l.newTarget(a, started)
 	delete(l.tombstones, a.Name)
@@ -351,6 +367,7 @@
 
 // publish makes the set visible to readers. The caller holds the lock.
 func (l *Local) publish() {
+	maps.DeleteFunc(l.cold, func(name string, _ localCold) bool { return l.entries[name] == nil })
 	view := &LocalView{Targets: make(map[string]*LocalTarget, len(l.entries)), Version: l.version}
 	for name, entry := range l.entries {
 		view.Targets[name] = entry.target
--- a/internal/registry/report.go
+++ b/internal/registry/report.go
@@ -74,6 +74,16 @@
 	if refusal := checkReport(now, r); refusal != nil {
 		return "", refusal
 	}
+	r.cold = r.coldReading(now, r.Sequence)
+	result, refusal := l.applyOrHold(now, r)
+	if result == ReportAccepted {
+		l.tellCold(r.Name)
+	}
+	return result, refusal
+}
+
+// applyOrHold applies a valid report, or holds it back.
+func (l *Local) applyOrHold(now time.Time, r Report) (ReportResult, *outcome.Refusal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.mustHold(now, r) {
--- a/internal/registry/target.go
+++ b/internal/registry/target.go
@@ -7,6 +7,7 @@
 	"k8s.io/apimachinery/pkg/labels"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/coldstart"
 )
 
 // Target is one announced target: a server process that handles requests for a service. It is immutable.
@@ -30,6 +31,8 @@
 	Version     uint64
 	// Started is when the target started, by the clock of its host.
 	Started time.Time
+	// Cold is the policy for the time in which the target is cold. Only policy.Effective sets it.
+	Cold coldstart.Policy
 	// Departed is set if the target has reported that it leaves.
 	Departed bool
 }
--- a/internal/route/member.go
+++ b/internal/route/member.go
@@ -48,6 +48,7 @@
 	reportedLimit atomic.Int64
 	// rateLimitBits holds the rate limit that the target last named, as the bits of a float64.
 	rateLimitBits atomic.Uint64
+	cold          coldStats
 
 	mu     sync.Mutex
 	health health
@@ -92,7 +93,12 @@
 func (m *targetStats) observeLoad(now int64, r *apiv1.LoadReport) {
 	m.reportedLoad.Store(int64(r.GetInFlight()) + int64(r.GetQueued()))
 	m.reportedLimit.Store(int64(r.GetLimit()))
-	m.reportedNs.Store(now)
+	if r.GetColdLeftMs() > 0 {
+		// Once the target is warm, its limit is another.
+		m.reportedNs.Store(never)
+	} else {
+		m.reportedNs.Store(now)
+	}
 	if r.GetDraining() {
 		m.drainingUntilNs.Store(now + int64(drainReportTTL))
 	} else {
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -65,6 +65,8 @@
 	Organisation string
 	// Level is the shedding level of the whole request.
 	Level uint32
+	// warmOnly excludes cold targets.
+	warmOnly bool
 	// Depth is the number of calls above this one in the call tree; 0 for a caller's request. A
 	// sub-call is shed at a higher level than a caller's request, since work was done for it.
 	Depth int
@@ -108,6 +110,8 @@
 	// latencyNs is the smoothed latency over all targets.
 	latencyNs  atomic.Int64
 	references referenceLatencies
+	// coldUntilNs is the end of the latest cold time of a target, in nanoseconds since the picker was created.
+	coldUntilNs atomic.Int64
 
 	mu      sync.Mutex
 	tracked map[string]trackedTarget
@@ -122,6 +126,7 @@
 	started     time.Time
 	incarnation uint64
 	takesWork   bool
+	listedCold  bool
 }
 
 // table is an immutable set of the targets that accept new calls; local ones are in the data centre of this node.
@@ -163,6 +168,7 @@
 			k.drainingUntilNs.Store(never)
 		}
 		k.takesWork = takesWork(t)
+		p.updateCold(now, &k, t)
 		tracked[t.ID()] = k
 		switch {
 		case !takesWork(t) || p.notices.leaving(t):
@@ -179,6 +185,10 @@
 // slowStartFrom returns when the slow start of a target that is new to this picker began. Targets
 // of the first update ran before this node knew the service, unless their state is cold.
 func (p *Picker) slowStartFrom(now int64, t *registry.Target) int64 {
+	if t.Cold.PerSecond > 0 {
+		// Its gate says what it takes.
+		return never
+	}
 	if p.tracked == nil && t.State != apiv1.TargetState_TARGET_STATE_COLD {
 		return never
 	}
@@ -199,14 +209,11 @@
 		e = p.choose(now, &q, true)
 	}
 	if e == nil {
-		return Choice{}, &outcome.Refusal{
-			Code: outcome.NoTarget, Ran: outcome.RanNo, RetryAfter: noTargetRetryAfter,
-			Detail: "no target of the service is available for this call",
-		}
+		return Choice{}, p.noTarget(now, &q)
 	}
 	e.inFlight.Add(1)
-	choice := Choice{picker: p, entry: *e, route: q.Route, organisation: q.Organisation}
-	if p.config.SlowRatio > 0 {
+	choice := Choice{picker: p, entry: *e, route: q.Route, organisation: q.Organisation, cold: e.cold.cold(now)}
+	if p.config.SlowRatio > 0 && !choice.cold {
 		choice.latency = e.routeLatencies.add(q.Route)
 		choice.latency.begin(now)
 	}
@@ -235,8 +242,8 @@
 	return &apiv1.Cutoff{Service: service, Common: common, Own: own}
 }
 
-// choose returns the target for a call, or nil. Ejected targets are eligible only if ejected is true.
-func (p *Picker) choose(now int64, q *Query, ejected bool) *entry {
+// chooseWarm returns the target for a call by the loads and latencies of targets, or nil.
+func (p *Picker) chooseWarm(now int64, q *Query, ejected bool) *entry {
 	t := p.table.Load()
 	reference := p.reference(now, q.Route, t)
 	if probe := p.drawProbe(now, t.local, q, ejected, reference); probe != nil {
@@ -351,6 +358,9 @@
 	if now < e.drainingUntilNs.Load() || (!ejected && now < e.ejectedUntilNs.Load()) {
 		return false
 	}
+	if q.warmOnly && e.cold.cold(now) {
+		return false
+	}
 	for _, id := range q.Exclude {
 		if e.hasID(id) {
 			return false
@@ -397,6 +407,8 @@
 	organisation string
 	// latency is nil if slow targets are not detected.
 	latency *routeLatency
+	// cold is true if the target was cold when it was chosen.
+	cold bool
 }
 
 // Target returns the chosen target.
@@ -421,6 +433,12 @@
 	if c.latency != nil {
 		c.latency.end(now)
 	}
+	p.observeCold(now, m, o.Load)
+	if c.cold {
+		m.cold.adapt(o.Outcome != Refused)
+	}
+	// How long a cold target takes says nothing about the target once it is warm, and a timeout there is no failure.
+	cold := c.cold || o.Load.GetColdLeftMs() > 0
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if o.Load != nil {
@@ -428,6 +446,13 @@
 		p.cutoffs.observe(c.route, c.organisation, o.Load.GetCutoff())
 	}
 	at := p.origin.Add(time.Duration(now))
+	switch {
+	case cold && o.Outcome == Success:
+		m.health.succeed(at)
+		return
+	case cold && o.Outcome == TimedOut:
+		return
+	}
 	switch o.Outcome {
 	case Success:
 		if m.routeLatencies.observe(now, c.route, o.Latency, p.slowThreshold(c.route)) {
@@ -456,38 +481,3 @@
 	}
 	p.latencyNs.Store(old + int64(latencyGain*float64(int64(sample)-old)))
 }
-
-// recordFailure records a failure and ejects the target if it has failed enough and the cap on ejections allows it.
-func (p *Picker) recordFailure(now int64, e entry, weight int) {
-	m := e.targetStats
-	if !m.health.fail(weight) || now < m.ejectedUntilNs.Load() || !p.mayEject(now) {
-		return
-	}
-	until := m.health.eject(p.origin.Add(time.Duration(now)))
-	end := int64(until.Sub(p.origin))
-	m.ejectedUntilNs.Store(end)
-	m.slowStartFromNs.Store(end)
-	if p.config.OnEject != nil {
-		p.config.OnEject(e.target, time.Duration(end-now))
-	}
-}
-
-// mayEject reports whether one more target may be ejected. Two targets that fail at the same
-// instant may exceed the cap by one.
-func (p *Picker) mayEject(now int64) bool {
-	t := p.table.Load()
-	ejected := 0
-	for _, entries := range [][]entry{t.local, t.remote} {
-		for i := range entries {
-			if now < entries[i].ejectedUntilNs.Load() {
-				ejected++
-			}
-		}
-	}
-	total := len(t.local) + len(t.remote)
-	allowed := int(p.config.MaxEjected * float64(total))
-	if total > 1 && p.config.MaxEjected > 0 {
-		allowed = max(allowed, 1)
-	}
-	return ejected < allowed
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,6 +81,9 @@
 	RepeatRatio   float64
 	RepeatReserve float64
 	RepeatWindow  time.Duration
+	// ColdExcess and ColdSlack bound the requests that a cold target gets in any second: its cold rate times ColdExcess, and ColdSlack
+	// more. Both 0 stand for the defaults.
+	ColdExcess, ColdSlack float64
 	// RateStartCredit is the content of an organisation's token bucket when another replica takes it over, as the time
 	// in which the organisation's rate fills it.
 	RateStartCredit time.Duration
--- a/internal/shed/governor.go
+++ b/internal/shed/governor.go
@@ -59,6 +59,9 @@
 	share float64
 	// losing is true while the loss rate of the service exceeds normalLossRate.
 	losing bool
+	// cold is true while all targets of the service are cold. Until openingUntil it has just become warm.
+	cold         bool
+	openingUntil time.Time
 	// laggedShare is the share delayed by readingLag: the one that caused the current reading.
 	laggedShare float64
 	// demand is the decayed number of calls to the service that the requests of each rank would make.
@@ -205,7 +208,8 @@
 			g.options.OnLossChange(LossChange{Service: name, Losing: c.losing, Share: lost, Age: age})
 		}
 		previous := c.share
-		c.updateShare(load, ok)
+		c.observeCold(now, g.tracker.Cold(now, name), ok)
+		c.updateShare(now, load, ok)
 		if (previous < 1) != (c.share < 1) {
 			g.options.OnOverloadChange(OverloadChange{Service: name, Overloaded: c.share < 1, Load: load, Age: age})
 		}
@@ -218,15 +222,16 @@
 }
 
 // updateShare changes the share by the deviation of the load from loadSetpoint.
-func (c *serviceLimiter) updateShare(load float64, known bool) {
+func (c *serviceLimiter) updateShare(now time.Time, load float64, known bool) {
+	lowest, highest, gain := c.pace(now)
 	switch {
 	case !known:
-		c.share = min(c.share*maxIncreaseFactor, 1)
+		c.share = min(c.share*highest, 1)
 	case c.share >= 1 && load <= overloadThreshold:
 	default:
 		desired := c.laggedShare * loadSetpoint / max(load, 0.01)
-		next := c.share + adjustGain*(desired-c.share) + additiveIncrease
-		c.share = min(max(min(max(next, c.share*maxDecreaseFactor), c.share*maxIncreaseFactor), minShare), 1)
+		next := c.share + gain*(desired-c.share) + additiveIncrease
+		c.share = min(max(min(max(next, c.share*lowest), c.share*highest), minShare), 1)
 	}
 }
 
--- a/internal/shed/meter.go
+++ b/internal/shed/meter.go
@@ -76,6 +76,13 @@
 	m.finished++
 }
 
+// Warmed forgets the service times of a target that was cold until now.
+func (m *Meter) Warmed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.slotSeconds, m.finished, m.abortedSlotSeconds = 0, 0, 0
+}
+
 // Reading is the measured load of a target.
 type Reading struct {
 	// Load is the offered work as a share of the capacity.
@@ -92,6 +99,9 @@
 	Slots int
 	// PerSecond is the number of requests that it accepts in a second; 0 for no such limit.
 	PerSecond float64
+	// Cold is true while the target is cold. Its load is then arrivals against PerSecond alone: how long requests take now says
+	// nothing about its slots.
+	Cold bool
 }
 
 // Read returns the current reading for a capacity.
@@ -112,10 +122,16 @@
 	defer m.mu.Unlock()
 	m.decay(now)
 	age := now.Sub(m.startedAt)
-	if m.startedAt.IsZero() || age < meterWarmUp || m.finished < 1 || c.Slots <= 0 {
+	if m.startedAt.IsZero() || age < meterWarmUp {
 		return 0
 	}
 	window := meterDecay.Seconds() * (1 - math.Exp(-age.Seconds()/meterDecay.Seconds()))
+	if c.Cold {
+		return m.arrivals / window / c.PerSecond
+	}
+	if m.finished < 1 || c.Slots <= 0 {
+		return 0
+	}
 	load := (m.arrivals*m.slotSeconds/m.finished + m.abortedSlotSeconds) / window / float64(c.Slots)
 	if c.PerSecond > 0 {
 		load = max(load, m.arrivals/window/c.PerSecond)
--- a/internal/shed/relay.go
+++ b/internal/shed/relay.go
@@ -61,8 +61,10 @@
 	lost float64
 	// fromCaller is true if a caller of the service reported the reading.
 	fromCaller bool
-	at         time.Time
-	origin     origin
+	// cold is true if all targets behind the reading are cold: the load compares arrivals with their cold rates.
+	cold   bool
+	at     time.Time
+	origin origin
 }
 
 // origin is the source of a reading. Readings of every origin count the same for admission at a node: the
@@ -103,7 +105,8 @@
 func (s *serviceLoad) observe(target string, reported reading) {
 	reported.load = min(reported.load, maxLoad)
 	known := s.byTarget[target]
-	if known == nil || reported.at.Sub(known.at) > readingTTL {
+	if known == nil || reported.at.Sub(known.at) > readingTTL || known.cold != reported.cold && reported.at.After(known.at) {
+		// Readings from before a target became cold or warm are of another capacity.
 		s.byTarget[target] = &reported
 		return
 	}
@@ -139,8 +142,8 @@
 
 // computeMean deletes expired readings and returns the mean of those whose origin is at least least.
 func (s *serviceLoad) computeMean(now time.Time, least origin) reading {
-	var mean reading
-	total, above := 0.0, 0.0
+	var mean, cold reading
+	total, above, coldTotal := 0.0, 0.0, 0.0
 	for from, r := range s.byTarget {
 		if now.Sub(r.at) > readingTTL {
 			delete(s.byTarget, from)
@@ -150,8 +153,13 @@
 			continue
 		}
 		weight := math.Exp(-now.Sub(r.at).Seconds() / readingWeightDecay.Seconds())
-		total += weight
-		mean.load += weight / total * (r.load - mean.load)
+		if r.cold {
+			coldTotal += weight
+			cold.load += weight / coldTotal * (r.load - cold.load)
+		} else {
+			total += weight
+			mean.load += weight / total * (r.load - mean.load)
+		}
 		if r.fromCaller {
 			above += weight
 			mean.lost += weight / above * (r.lost - mean.lost)
@@ -160,6 +168,9 @@
 			mean.at = r.at
 		}
 	}
+	if coldTotal > 0 && total < minWarmWeight {
+		mean.load, mean.cold = cold.load, true
+	}
 	return mean
 }
 
@@ -216,11 +227,9 @@
 	c.add(now)
 }
 
-// Observe records the load of a target of this host.
+// Observe records the load of a warm target of this host.
 func (r *LoadTracker) Observe(now time.Time, service, target string, load float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.serviceLoad(service).observe(target, reading{load: load, at: now, origin: originLocal})
+	r.ObserveTarget(now, service, target, TargetLoad{Load: load})
 }
 
 // serviceLoad returns the readings of a service, creating an empty set if needed. The caller holds mu.
@@ -261,6 +270,7 @@
 			load:       float64(p.GetLoadPermille()) / permille,
 			lost:       float64(p.GetLostPermille()) / permille,
 			fromCaller: p.GetService() != w.Service,
+			cold:       p.GetCold(),
 			at:         now.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond),
 			origin:     downstreamOrigin,
 		}
@@ -290,7 +300,7 @@
 		}
 		if age := now.Sub(known.at); age <= readingTTL && known.origin >= originDirect {
 			out = append(out, &apiv1.TargetReading{
-				Target: target, LoadPermille: uint32(known.load * permille), AgeMs: uint32(max(age, 0) / time.Millisecond)})
+				Cold: known.cold, Target: target, LoadPermille: uint32(known.load * permille), AgeMs: uint32(max(age, 0) / time.Millisecond)})
 		}
 	}
 	return out
@@ -309,7 +319,7 @@
 		if now.Sub(at) > readingTTL || known != nil && (known.origin == originLocal || !at.After(known.at)) {
 			continue
 		}
-		from[t.GetTarget()] = &reading{load: min(float64(t.GetLoadPermille())/permille, maxLoad), at: at, origin: originDirect}
+		from[t.GetTarget()] = &reading{load: min(float64(t.GetLoadPermille())/permille, maxLoad), cold: t.GetCold(), at: at, origin: originDirect}
 		taken++
 	}
 	return taken
@@ -332,6 +342,7 @@
 		}
 		report = append(report, &apiv1.Pressure{
 			Service:       name,
+			Cold:          known.cold,
 			LoadPermille:  uint32(known.load * permille),
 			CallsPermille: uint32(calls*permille + 0.5),
 			LostPermille:  uint32(r.lossRate(now, name, known)*permille + 0.5),
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -29,6 +29,8 @@
 	// TargetCrashes counts crashes of targets of this host with requests in flight, Quarantined the requests that were quarantined at this node.
 	TargetCrashes atomic.Int64
 	Quarantined   atomic.Int64
+	// ColdStarts counts the times that a target of this host became cold.
+	ColdStarts atomic.Int64
 	// Trials counts runs of suspects on trial, QuarantineRefusals the calls refused since their request is quarantined.
 	Trials             atomic.Int64
 	QuarantineRefusals atomic.Int64
@@ -110,6 +112,7 @@
 
 			"target_crashes":      m.TargetCrashes.Load(),
 			"quarantined":         m.Quarantined.Load(),
+			"cold_starts":         m.ColdStarts.Load(),
 			"suspect_trials":      m.Trials.Load(),
 			"quarantine_refusals": m.QuarantineRefusals.Load(),
 		},
