--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -24,6 +24,8 @@
 	Duration time.Duration
 	// PerSecond is the number of requests per second that a cold target gets; 0 for no limit.
 	PerSecond float64
+	// HealthPath is the path at which a target may be asked whether it is cold; empty for none.
+	HealthPath string
 }
 
 // Reading is what a target said of its cold time at one moment.
@@ -61,6 +63,9 @@
 	return true
 }
 
+// Known reports whether a reading is known.
+func (t *Tracker) Known() bool { return t.known }
+
 // Left returns the remaining cold time by a policy; 0 if the target is warm or the policy has no rate.
 func (t *Tracker) Left(now time.Time, p Policy) time.Duration {
 	switch {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -284,5 +284,5 @@
 // onlyDrains reports whether the document sets nothing but a drain, which can't
 // contradict another document.
 func (s *TargetSpec) onlyDrains() bool {
-	return len(s.Labels) == 0 && s.Slots == nil && s.ColdStart == nil && s.ColdPerSecond == nil && s.MaxConnections == nil
+	return len(s.Labels) == 0 && s.Slots == nil && s.ColdStart == nil && s.ColdPerSecond == nil && s.HealthPath == "" && s.MaxConnections == nil
 }
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -323,6 +323,8 @@
 	ColdStart *Duration `json:"coldStart,omitempty" yaml:"coldStart"`
 	// ColdPerSecond caps the requests per second to a cold target: for ColdStart after its start, or as long as it says.
 	ColdPerSecond *float64 `json:"coldPerSecond,omitempty" yaml:"coldPerSecond"`
+	// HealthPath is a path at which warm targets with a cold rate are asked whether they have become cold.
+	HealthPath string `json:"healthPath,omitempty" yaml:"healthPath"`
 	// Drain stops sending new requests to the targets.
 	Drain bool `json:"drain,omitempty" yaml:"drain"`
 	// MaxConnections caps the connections to each target.
@@ -348,6 +350,9 @@
 	if s.ColdStart != nil && (*s.ColdStart < 0 || time.Duration(*s.ColdStart) > MaxTimeout) {
 		report("coldStart", "%v is out of range; allowed: 0s to %v", time.Duration(*s.ColdStart), MaxTimeout)
 	}
+	if s.HealthPath != "" && (!strings.HasPrefix(s.HealthPath, "/") || strings.ContainsAny(s.HealthPath, " #\r\n")) {
+		report("healthPath", "%q is not a path that begins with a slash", s.HealthPath)
+	}
 	if s.ColdPerSecond != nil && !(*s.ColdPerSecond >= MinColdPerSecond && *s.ColdPerSecond <= MaxPerSecond) {
 		report("coldPerSecond", "%v is out of range; allowed: %v to %d", *s.ColdPerSecond, MinColdPerSecond, MaxPerSecond)
 	}
--- a/internal/config/target.go
+++ b/internal/config/target.go
@@ -23,6 +23,8 @@
 	ColdStart time.Duration
 	// ColdPerSecond is the number of requests per second that a cold target gets; 0 for no limit.
 	ColdPerSecond float64
+	// HealthPath is where a target tells in its responses whether it is cold; empty for none.
+	HealthPath string
 	// Draining is true while the target must receive no new requests.
 	Draining bool
 	// MaxConnections caps the connections to the target, and thereby Slots; 0 means no cap.
@@ -120,6 +122,9 @@
 	if spec.ColdPerSecond != nil {
 		p.ColdPerSecond = *spec.ColdPerSecond
 	}
+	if spec.HealthPath != "" {
+		p.HealthPath = spec.HealthPath
+	}
 	if spec.MaxConnections != nil {
 		p.MaxConnections = *spec.MaxConnections
 	}
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -35,6 +35,8 @@
 	SlowStart Name = "slow-start"
 	// CrashQuarantine keeps requests that crash targets from crashing more of them.
 	CrashQuarantine Name = "crash-quarantine"
+	// ColdProbes asks warm targets with a cold rate at short intervals whether they have become cold.
+	ColdProbes Name = "cold-probes"
 	// SilentOwnerShares lets nodes spend their share of a rate while the owner of the rate does not respond.
 	SilentOwnerShares Name = "standing-rates"
 )
@@ -53,6 +55,7 @@
 	{Ejection, "avoid targets that fail repeatedly"},
 	{SlowStart, "raise the load of new targets gradually"},
 	{CrashQuarantine, "run requests that were in flight when targets crashed on trial, and refuse those that crash them"},
+	{ColdProbes, "ask targets with a cold rate every 250 ms whether they have become cold"},
 	{SilentOwnerShares, "spend the node's share of a rate while the owner of the rate does not respond"},
 }
 
--- a/internal/gate/cold.go
+++ b/internal/gate/cold.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 	perSecond float64
 	// end ends the cold time; nil while the target is warm.
 	end *time.Timer
+	// probing is set while the target is asked whether it is cold.
+	probing atomic.Bool
 }
 
 // newCold returns the cold time of a target that is new to the gate, by the latest reading that is known of it.
--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -130,3 +130,37 @@
 	require.LessOrEqual(t, got, 1.5*13*length+8, "in %.2f s", length)
 	require.GreaterOrEqual(t, got, 0.5*13*length, "in %.2f s", length)
 }
+
+// TestProbesFindATargetThatBecomesCold guards against a target that gets the load of a warm one until its next report, and against probes
+// that count against the rate of a cold target, or reach a target that drains or whose policy has no cold rate.
+func TestProbesFindATargetThatBecomesCold(t *testing.T) {
+	var cold atomic.Bool
+	var probes atomic.Int64
+	f := cooled(t, time.Now().Add(-time.Minute), func(h http.Header) {
+		probes.Add(1)
+		h.Set("Cold-Ms", "0")
+		if cold.Load() {
+			h.Set("Cold-Ms", "60000")
+		}
+	})
+	go f.gate.ProbeColdTargets(t.Context(), http.DefaultTransport)
+	time.Sleep(2 * coldProbeInterval)
+	require.Zero(t, probes.Load(), "the policy names no health path")
+	e, _ := f.gate.find("t1")
+	policy := coldstart.Policy{Duration: 3 * time.Second, PerSecond: 13, HealthPath: "/health"}
+	e.setColdPolicy(policy)
+	require.Eventually(t, func() bool { return probes.Load() > 1 }, 5*time.Second, 5*time.Millisecond)
+	require.Zero(t, f.coldLeft())
+	cold.Store(true)
+	require.Eventually(t, func() bool { return f.coldLeft() > 0 }, 5*time.Second, 5*time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	before := probes.Load()
+	time.Sleep(3 * coldProbeInterval)
+	require.Equal(t, before, probes.Load(), "a cold target is not asked")
+	e.observeCold(coldstart.Reading{Sequence: 1, At: time.Now()}, "report")
+	e.setDraining(true)
+	time.Sleep(50 * time.Millisecond)
+	before = probes.Load()
+	time.Sleep(3 * coldProbeInterval)
+	require.Equal(t, before, probes.Load(), "a target that drains is not asked")
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -365,6 +365,9 @@
 	p.goRun("rate", func() error { p.rates.Run(ctx); return nil })
 	p.goRun("targets", func() error { p.refreshTargets(ctx); return nil })
 	p.goRun("departures", func() error { p.departures.restore(ctx); return nil })
+	if p.env.features.On(feature.ColdProbes) {
+		p.goRun("cold probes", func() error { p.gate.ProbeColdTargets(ctx, targetTransport()); return nil })
+	}
 	if p.quarantineExchange != nil {
 		p.goRun("quarantine exchange", func() error { p.quarantineExchange.run(ctx); return nil })
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -57,7 +57,7 @@
 	if settings.ColdPerSecond == 0 {
 		return coldstart.Policy{}
 	}
-	return coldstart.Policy{Duration: settings.ColdStart, PerSecond: settings.ColdPerSecond}
+	return coldstart.Policy{Duration: settings.ColdStart, PerSecond: settings.ColdPerSecond, HealthPath: settings.HealthPath}
 }
 
 // coldBurst returns how many requests may start at once at a cold target, so that no second is above the bound.
