--- a/internal/admission/cold.go
+++ b/internal/admission/cold.go
@@ -112,12 +112,16 @@
 }
 
 // Confirm reports whether the request may still be sent to the target, which may have become cold since the permit was given. It must be
-// called right before the request is sent.
-func (p Permit) Confirm() bool {
+// called right before the request is sent. It is not safe for concurrent use.
+func (p *Permit) Confirm() bool {
 	if p.gate.epoch.Load() == p.epoch {
 		return true
 	}
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
-	return p.gate.core.confirmStart(p.gate.clock.Now(), p.epoch)
+	if !p.gate.core.confirmStart(p.gate.clock.Now(), p.epoch) {
+		return false
+	}
+	p.epoch = p.gate.core.cold.epoch
+	return true
 }
--- a/internal/admission/cold_test.go
+++ b/internal/admission/cold_test.go
@@ -143,7 +143,8 @@
 	require.True(t, permits[0].Confirm())
 	g.SetColdRate(13)
 	confirmed := 0
-	for _, p := range permits {
+	for i := range permits {
+		p := &permits[i]
 		if p.Confirm() {
 			confirmed++
 		}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -298,6 +298,9 @@
 	case refusal == nil && answer.Header.GetPassedOn():
 		// The target failed because one of its sub-calls was refused, which says nothing about the target itself.
 		return route.Cancelled
+	case refusal == nil && answer.Header.GetStatus() >= http.StatusInternalServerError && answer.Header.GetLoad().GetColdLeftMs() > 0:
+		// What a cold target answers says nothing about it once it is warm.
+		return route.Cancelled
 	case refusal == nil && answer.Header.GetStatus() >= http.StatusInternalServerError:
 		return route.Failure
 	case refusal == nil:
--- a/internal/dispatch/coldfleet_test.go
+++ b/internal/dispatch/coldfleet_test.go
@@ -363,14 +363,14 @@
 		start := time.Now()
 		cold.becomeCold(coldDuration)
 		for _, after := range []time.Duration{300, 350, 400, 1000} {
-			f.load(start.Add(after*time.Millisecond).Sub(time.Now()), coldCalls)
+			f.load(time.Until(start.Add(after*time.Millisecond)), coldCalls)
 			cold.startNode()
 		}
 		warm.startNode()
 		restarted := time.Now()
 		f.load(time.Second, coldCalls)
 		require.Greater(t, warm.received(restarted, time.Now()), coldCalls/coldTargets/2, "the warm target keeps its load")
-		f.load(start.Add(coldDuration).Sub(time.Now()), coldCalls)
+		f.load(time.Until(start.Add(coldDuration)), coldCalls)
 		require.LessOrEqual(t, float64(cold.most(start, time.Now())), coldBound)
 		t.Logf("cold: at most %d in a second; warm: %d in the second after the restart", cold.most(start, time.Now()),
 			warm.received(restarted, restarted.Add(time.Second)))
@@ -393,3 +393,30 @@
 		require.Empty(t, refused)
 	})
 }
+
+// TestRefusalByAColdTargetCostsNothing guards against a call that is refused since it has used its extra attempts up at a cold target, and against
+// an answer of a cold target that counts as a failure.
+func TestRefusalByAColdTargetCostsNothing(t *testing.T) {
+	s := &fakeSender{}
+	s.call = func(attempt int) (*gate.Answer, error) {
+		if attempt == 1 {
+			answer := refusalOf(outcome.NotRun(outcome.QueueFull, time.Second, "cold"))
+			answer.Header.Load = &apiv1.LoadReport{ColdLeftMs: 2000, ColdPerSecond: 13}
+			return answer, nil
+		}
+		return answerOf("done"), nil
+	}
+	result, took := sendWith(t, s, func(r *Request) {
+		r.Origin.Allowance = retry.NewAllowance(0)
+	})
+	require.Nil(t, result.Refusal())
+	require.Zero(t, took, "the next attempt follows at once")
+	require.NotEqual(t, s.calls[0].Target, s.calls[1].Target)
+	require.False(t, result.Cold)
+
+	failed := answerOf("busy")
+	failed.Header.Status = http.StatusServiceUnavailable
+	require.Equal(t, route.Failure, observationKind(failed))
+	failed.Header.Load = &apiv1.LoadReport{ColdLeftMs: 1}
+	require.Equal(t, route.Cancelled, observationKind(failed))
+}
--- a/internal/gate/cold.go
+++ b/internal/gate/cold.go
@@ -12,8 +12,8 @@
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/coldstart"
-	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/upstream"
 )
 
 // targetCold holds the cold time of one run of a target, and applies its rate to the admission of the target. It ends by itself.
@@ -128,12 +128,37 @@
 	}
 }
 
-// confirmStart returns a refusal if the target has become cold since the call was admitted, and its rate has no room for the call.
-func (x *execution) confirmStart() *outcome.Refusal {
+// errBecameCold is the error of a request that was not sent, since its target has become cold after the call was admitted.
+var errBecameCold = errors.New("the target has become cold")
+
+// confirmStart returns errBecameCold if the target has become cold since the call was admitted, and its rate has no room for the call.
+func (x *execution) confirmStart() error {
 	if x.permit.Confirm() {
 		return nil
 	}
-	return outcome.NotRun(outcome.QueueFull, 0, "the target has become cold")
+	return errBecameCold
+}
+
+// send sends the request to the target, unless the target has become cold since the call was admitted: before a connection is opened, which
+// may take a while, or after.
+func (x *execution) send(r *http.Request) (*http.Response, error) {
+	if err := x.confirmStart(); err != nil {
+		if r.Body != nil {
+			_ = r.Body.Close()
+		}
+		return nil, err
+	}
+	if x.entry.cold.hasPolicy() {
+		r = r.WithContext(upstream.WithGuard(r.Context(), x.confirmStart))
+	}
+	return x.gate.opts.Transport.RoundTrip(r)
+}
+
+// hasPolicy reports whether the policy of the target has a cold rate.
+func (c *targetCold) hasPolicy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.policy.PerSecond > 0
 }
 
 // observeColdField takes over the remaining cold time that a response tells; empty for none. The reading counts from when the request was
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -113,11 +113,11 @@
 		x.end(admission.Cancelled)
 		return nil, outcome.NotRun(outcome.BadRequest, 0, "%v", err)
 	}
-	if refusal := x.confirmStart(); refusal != nil {
+	resp, err := x.send(req)
+	if errors.Is(err, errBecameCold) {
 		x.end(admission.Cancelled)
-		return nil, refusal
+		return nil, outcome.NotRun(outcome.QueueFull, 0, "the target has become cold")
 	}
-	resp, err := x.gate.opts.Transport.RoundTrip(req)
 	if err == nil {
 		if resp.StatusCode != http.StatusMisdirectedRequest {
 			// Otherwise another target has the address, and speaks of itself.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -66,7 +66,8 @@
 	if excess == 0 && slack == 0 {
 		excess, slack = DefaultColdExcess, DefaultColdSlack
 	}
-	return (excess-1)*perSecond + slack
+	// Less than one would leave the burst to the rate limit.
+	return max((excess-1)*perSecond+slack, 1)
 }
 
 // Admission returns the admission settings of a target.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -247,6 +247,7 @@
 	x := b.exchange
 	notCancelled := x.stopCancel()
 	if complete && b.reusable && notCancelled && x.fullySent() && x.conn.reader.Buffered() == 0 {
+		x.conn.used = true
 		x.transport.putIdle(x.conn)
 		return
 	}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -80,6 +80,11 @@
 		closeBody(r)
 		return nil, err
 	}
+	if err := checkGuard(r.Context()); err != nil {
+		closeBody(r)
+		t.putIdle(c)
+		return nil, err
+	}
 	x := &exchange{transport: t, conn: c, request: r}
 	x.stopCancel = context.AfterFunc(r.Context(), func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	response, err := x.run()
@@ -184,7 +189,6 @@
 // putIdle keeps a connection for another request, and closes those that were idle for too long.
 func (t *Transport) putIdle(c *conn) {
 	now := time.Now()
-	c.used = true
 	c.reuseUntil = now.Add(time.Duration(idleShare * float64(c.idleTime)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
