--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -193,8 +193,8 @@
 	if g.opts.LoadTracker == nil || !e.reportDue(now, reportRecipient{h.GetKey().GetNode(), h.GetRoute()}) {
 		return m
 	}
-	capacity := capacityOf(load)
-	g.opts.LoadTracker.ObserveTarget(now, e.target.Service, e.target.ID(), shed.TargetLoad{Load: e.meter.Load(now, capacity), Cold: capacity.Cold})
+	g.opts.LoadTracker.ObserveTarget(now, e.target.Service, e.target.ID(), shed.TargetLoad{Load: e.meter.Load(now, capacityOf(load)),
+		ColdLeft: time.Duration(m.GetColdLeftMs()) * time.Millisecond})
 	m.Pressures = g.opts.LoadTracker.Report(now, workOf(h))
 	return m
 }
@@ -265,6 +265,8 @@
 	Target  *registry.Target
 	Load    admission.Load
 	Reading shed.Reading
+	// ColdLeft is for how long the target is cold.
+	ColdLeft time.Duration
 }
 
 // Loads returns the load of every target of the host.
@@ -274,7 +276,9 @@
 	loads := make([]TargetLoad, 0, len(g.targets))
 	for _, e := range g.targets {
 		load := e.admission.Load()
-		loads = append(loads, TargetLoad{Target: e.target, Load: load, Reading: e.meter.Read(g.opts.Clock.Now(), capacityOf(load))})
+		now := g.opts.Clock.Now()
+		left, _ := e.cold.left(now)
+		loads = append(loads, TargetLoad{Target: e.target, Load: load, Reading: e.meter.Read(now, capacityOf(load)), ColdLeft: left})
 	}
 	return loads
 }
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -81,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
 	defer cancel()
 	service, now := t.Target.Service, p.env.Clock.Now()
-	p.loadTracker.ObserveTarget(now, service, t.Target.ID(), shed.TargetLoad{Load: t.Reading.Load, Cold: t.Load.ColdRate > 0})
+	p.loadTracker.ObserveTarget(now, service, t.Target.ID(), shed.TargetLoad{Load: t.Reading.Load, ColdLeft: t.ColdLeft})
 	resp := &apiv1.LoadExchange{}
 	err := peer.Unary(ctx, p.pool, other.NodeAddress, apiv1.Method_METHOD_LOADS,
 		&apiv1.LoadExchange{Service: service, Readings: p.loadTracker.Readings(now, service)}, resp)
--- a/internal/shed/cold.go
+++ b/internal/shed/cold.go
@@ -4,7 +4,7 @@
 
 // Some targets of a service may be cold: they get a fixed small rate, and the warm ones take the rest. What a cold target can't take is no
 // overload of the service, so the load of a service is the mean over its warm targets. When all are cold, it is the mean over these,
-// each with its arrivals against its cold rate; entries then admit what the cold rates carry, and open up fast once targets are
+// each with its arrivals against its cold rate; entries then admit what the cold rates carry, and open up fast once the first is
 // warm, since capacity rises a hundredfold within a moment.
 
 const (
@@ -23,39 +23,61 @@
 // TargetLoad is the load of a target of this host.
 type TargetLoad struct {
 	Load float64
-	// Cold is true if Load compares arrivals with the cold rate of the target.
-	Cold bool
+	// ColdLeft is for how long the target is cold; 0 if it is warm. Load then compares arrivals with its cold rate.
+	ColdLeft time.Duration
+}
+
+// cold reports whether the reading is of cold targets.
+func (r *reading) cold() bool { return !r.coldUntil.IsZero() }
+
+// coldUntil returns the end of a remaining cold time in milliseconds; the zero time if there is none.
+func coldUntil(now time.Time, leftMs uint32) time.Time {
+	if leftMs == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(leftMs) * time.Millisecond)
+}
+
+// coldLeftMs returns the time until the end of a cold time in milliseconds, at least 1; 0 without a cold time.
+func coldLeftMs(now, until time.Time) uint32 {
+	if until.IsZero() {
+		return 0
+	}
+	return uint32(max(until.Sub(now).Milliseconds(), 1))
 }
 
 // ObserveTarget records the load of a target of this host.
 func (r *LoadTracker) ObserveTarget(now time.Time, service, target string, l TargetLoad) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.serviceLoad(service).observe(target, reading{load: l.Load, cold: l.Cold, at: now, origin: originLocal})
+	r.serviceLoad(service).observe(target, reading{load: l.Load, coldUntil: coldUntil(now, uint32(l.ColdLeft.Milliseconds())), at: now, origin: originLocal})
 }
 
-// Cold reports whether all targets of a service that have readings are cold.
-func (r *LoadTracker) Cold(now time.Time, service string) bool {
+// ColdUntil returns when the first target of a service is warm; the zero time unless all targets that have readings are cold.
+func (r *LoadTracker) ColdUntil(now time.Time, service string) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known, ok := r.load(now, service)
-	return ok && known.cold
+	known, _ := r.load(now, service)
+	return known.coldUntil
 }
 
-// observeCold notes whether the service is cold at an adjustment.
-func (c *serviceLimiter) observeCold(now time.Time, cold, known bool) {
-	if c.cold && !cold && known {
+// observeCold notes at an adjustment whether the service is cold. The cold time ends by itself too: an entry that admits few requests gets few
+// readings.
+func (c *serviceLimiter) observeCold(now, until time.Time, known bool) {
+	switch {
+	case !until.IsZero():
+		c.coldUntil = until
+	case c.coldUntil.IsZero():
+	case known || !now.Before(c.coldUntil):
+		c.coldUntil = time.Time{}
 		c.openingUntil = now.Add(openingTime)
 	}
-	if known {
-		c.cold = cold
-	}
 }
 
 // pace returns the bounds of the factor of one adjustment, and the part of the deviation that it corrects.
 func (c *serviceLimiter) pace(now time.Time) (lowest, highest, gain float64) {
 	switch {
-	case c.cold:
+	case now.Before(c.coldUntil):
 		return coldDecreaseFactor, maxIncreaseFactor, adjustGain
 	case now.Before(c.openingUntil):
 		return maxDecreaseFactor, openingFactor, openingGain
--- a/internal/shed/cold_test.go
+++ b/internal/shed/cold_test.go
@@ -17,12 +17,12 @@
 	for range 200 {
 		now = now.Add(20 * time.Millisecond)
 		for _, name := range []string{"a", "b", "c", "d"} {
-			tracker.ObserveTarget(now, "s", name, TargetLoad{Load: 7, Cold: true})
+			tracker.ObserveTarget(now, "s", name, TargetLoad{Load: 7, ColdLeft: time.Minute})
 		}
 		tracker.ObserveTarget(now, "s", "e", TargetLoad{Load: 0.8})
 		require.True(t, g.Admit(now, Request{ServiceRoute: ServiceRoute{Service: "s"}, Random: 0.99}).Admitted)
 	}
-	require.False(t, tracker.Cold(now, "s"))
+	require.False(t, !tracker.ColdUntil(now, "s").IsZero())
 }
 
 // TestColdServiceAdmitsWhatItsRatesCarry guards against a service whose targets are all cold and that is flooded, or taken for dead; and
@@ -45,7 +45,7 @@
 			admitted += here
 			load := TargetLoad{Load: here * 50 / warmCapacity}
 			if cold {
-				load = TargetLoad{Load: here * 50 / carried, Cold: true}
+				load = TargetLoad{Load: here * 50 / carried, ColdLeft: time.Minute}
 			}
 			tracker.ObserveTarget(now, "s", "a", load)
 		}
@@ -53,7 +53,7 @@
 	for range 4 {
 		second()
 	}
-	require.True(t, tracker.Cold(now, "s"))
+	require.True(t, !tracker.ColdUntil(now, "s").IsZero())
 	require.InDelta(t, carried, admitted, 0.5*carried)
 	cold = false
 	second()
@@ -65,17 +65,17 @@
 func TestColdnessIsPassedOn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	beside, other, caller := NewLoadTracker(), NewLoadTracker(), NewLoadTracker()
-	beside.ObserveTarget(now, "s", "a", TargetLoad{Load: 3, Cold: true})
+	beside.ObserveTarget(now, "s", "a", TargetLoad{Load: 3, ColdLeft: time.Minute})
 	require.Equal(t, 1, other.Merge(now, "s", beside.Readings(now, "s")))
-	require.True(t, other.Cold(now, "s"))
+	require.True(t, !other.ColdUntil(now, "s").IsZero())
 	caller.Learn(now, ServiceRoute{Service: "s"}, "a", beside.Report(now, ServiceRoute{Service: "s"}))
-	require.True(t, caller.Cold(now, "s"))
+	require.True(t, !caller.ColdUntil(now, "s").IsZero())
 	now = now.Add(20 * time.Millisecond)
 	beside.ObserveTarget(now, "s", "a", TargetLoad{Load: 0.1})
 	caller.Learn(now, ServiceRoute{Service: "s"}, "a", beside.Report(now, ServiceRoute{Service: "s"}))
 	load, _, ok := caller.Load(now, "s")
 	require.True(t, ok)
-	require.False(t, caller.Cold(now, "s"))
+	require.False(t, !caller.ColdUntil(now, "s").IsZero())
 	require.InDelta(t, 0.1, load, 0.01, "the load from the cold time does not linger")
 }
 
@@ -102,5 +102,27 @@
 	r.Merge(now, "s", []*apiv1.TargetReading{{Target: "a", LoadPermille: 400}, {Target: "b", LoadPermille: 800}})
 	load, _, _ := r.Load(now.Add(time.Second), "s")
 	require.InDelta(t, 0.6, load, 1e-9)
-	require.False(t, r.Cold(now, "s"))
+	require.False(t, !r.ColdUntil(now, "s").IsZero())
+}
+
+// TestEntryOpensWithoutReadings guards against an entry that admits hardly anything for a while after the targets of a service are warm: it admits so
+// little while they are cold that no reading tells it.
+func TestEntryOpensWithoutReadings(t *testing.T) {
+	now, tracker := time.Unix(1000, 0), NewLoadTracker()
+	g := NewShedder(tracker, Options{})
+	request := Request{ServiceRoute: ServiceRoute{Service: "s"}, Random: 0.9}
+	end := now.Add(3 * time.Second)
+	for now.Before(end) {
+		if now.Before(end.Add(-time.Second)) {
+			tracker.ObserveTarget(now, "s", "a", TargetLoad{Load: 20, ColdLeft: end.Sub(now)})
+		}
+		now = now.Add(20 * time.Millisecond)
+		g.Admit(now, request)
+	}
+	require.False(t, g.Admit(now, request).Admitted)
+	for range 45 {
+		now = now.Add(20 * time.Millisecond)
+		g.Admit(now, request)
+	}
+	require.True(t, g.Admit(now, request).Admitted, "0.9 s after the cold time has ended")
 }
--- a/internal/shed/governor.go
+++ b/internal/shed/governor.go
@@ -59,8 +59,8 @@
 	share float64
 	// losing is true while the loss rate of the service exceeds normalLossRate.
 	losing bool
-	// cold is true while all targets of the service are cold. Until openingUntil it has just become warm.
-	cold         bool
+	// coldUntil is when the first target of the service is warm; zero unless all are cold. Until openingUntil it has just become warm.
+	coldUntil    time.Time
 	openingUntil time.Time
 	// laggedShare is the share delayed by readingLag: the one that caused the current reading.
 	laggedShare float64
@@ -208,7 +208,7 @@
 			g.options.OnLossChange(LossChange{Service: name, Losing: c.losing, Share: lost, Age: age})
 		}
 		previous := c.share
-		c.observeCold(now, g.tracker.Cold(now, name), ok)
+		c.observeCold(now, g.tracker.ColdUntil(now, name), ok)
 		c.updateShare(now, load, ok)
 		if (previous < 1) != (c.share < 1) {
 			g.options.OnOverloadChange(OverloadChange{Service: name, Overloaded: c.share < 1, Load: load, Age: age})
--- a/internal/shed/relay.go
+++ b/internal/shed/relay.go
@@ -61,10 +61,11 @@
 	lost float64
 	// fromCaller is true if a caller of the service reported the reading.
 	fromCaller bool
-	// cold is true if all targets behind the reading are cold: the load compares arrivals with their cold rates.
-	cold   bool
-	at     time.Time
-	origin origin
+	// coldUntil is when the first of the targets behind the reading is warm; zero unless all are cold. Until then the load compares
+	// arrivals with their cold rates, after that it says nothing.
+	coldUntil time.Time
+	at        time.Time
+	origin    origin
 }
 
 // origin is the source of a reading. Readings of every origin count the same for admission at a node: the
@@ -105,15 +106,22 @@
 func (s *serviceLoad) observe(target string, reported reading) {
 	reported.load = min(reported.load, maxLoad)
 	known := s.byTarget[target]
-	if known == nil || reported.at.Sub(known.at) > readingTTL || known.cold != reported.cold && reported.at.After(known.at) {
-		// Readings from before a target became cold or warm are of another capacity.
+	switch {
+	case known == nil || reported.at.Sub(known.at) > readingTTL:
 		s.byTarget[target] = &reported
 		return
+	case known.cold() != reported.cold():
+		// Readings from before a target became cold or warm are of another capacity.
+		if reported.at.After(known.at) {
+			s.byTarget[target] = &reported
+		}
+		return
 	}
 	elapsed := max(reported.at.Sub(known.at), time.Millisecond)
 	gain := 1 - math.Exp(-elapsed.Seconds()/readingSmoothing.Seconds())
 	known.load += gain * (reported.load - known.load)
 	known.lost += gain * (reported.lost - known.lost)
+	known.coldUntil = reported.coldUntil
 	known.origin = max(known.origin, reported.origin)
 	if reported.at.After(known.at) {
 		known.at = reported.at
@@ -145,7 +153,7 @@
 	var mean, cold reading
 	total, above, coldTotal := 0.0, 0.0, 0.0
 	for from, r := range s.byTarget {
-		if now.Sub(r.at) > readingTTL {
+		if now.Sub(r.at) > readingTTL || r.cold() && !now.Before(r.coldUntil) {
 			delete(s.byTarget, from)
 			continue
 		}
@@ -153,7 +161,10 @@
 			continue
 		}
 		weight := math.Exp(-now.Sub(r.at).Seconds() / readingWeightDecay.Seconds())
-		if r.cold {
+		if r.cold() {
+			if cold.coldUntil.IsZero() || r.coldUntil.Before(cold.coldUntil) {
+				cold.coldUntil = r.coldUntil
+			}
 			coldTotal += weight
 			cold.load += weight / coldTotal * (r.load - cold.load)
 		} else {
@@ -169,7 +180,7 @@
 		}
 	}
 	if coldTotal > 0 && total < minWarmWeight {
-		mean.load, mean.cold = cold.load, true
+		mean.load, mean.coldUntil = cold.load, cold.coldUntil
 	}
 	return mean
 }
@@ -270,7 +281,7 @@
 			load:       float64(p.GetLoadPermille()) / permille,
 			lost:       float64(p.GetLostPermille()) / permille,
 			fromCaller: p.GetService() != w.Service,
-			cold:       p.GetCold(),
+			coldUntil:  coldUntil(now, p.GetColdLeftMs()),
 			at:         now.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond),
 			origin:     downstreamOrigin,
 		}
@@ -300,7 +311,7 @@
 		}
 		if age := now.Sub(known.at); age <= readingTTL && known.origin >= originDirect {
 			out = append(out, &apiv1.TargetReading{
-				Cold: known.cold, Target: target, LoadPermille: uint32(known.load * permille), AgeMs: uint32(max(age, 0) / time.Millisecond)})
+				ColdLeftMs: coldLeftMs(now, known.coldUntil), Target: target, LoadPermille: uint32(known.load * permille), AgeMs: uint32(max(age, 0) / time.Millisecond)})
 		}
 	}
 	return out
@@ -319,7 +330,7 @@
 		if now.Sub(at) > readingTTL || known != nil && (known.origin == originLocal || !at.After(known.at)) {
 			continue
 		}
-		from[t.GetTarget()] = &reading{load: min(float64(t.GetLoadPermille())/permille, maxLoad), cold: t.GetCold(), at: at, origin: originDirect}
+		from[t.GetTarget()] = &reading{load: min(float64(t.GetLoadPermille())/permille, maxLoad), coldUntil: coldUntil(now, t.GetColdLeftMs()), at: at, origin: originDirect}
 		taken++
 	}
 	return taken
@@ -342,7 +353,7 @@
 		}
 		report = append(report, &apiv1.Pressure{
 			Service:       name,
-			Cold:          known.cold,
+			ColdLeftMs:    coldLeftMs(now, known.coldUntil),
 			LoadPermille:  uint32(known.load * permille),
 			CallsPermille: uint32(calls*permille + 0.5),
 			LostPermille:  uint32(r.lossRate(now, name, known)*permille + 0.5),
