--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -41,6 +41,8 @@
 	withdrawn bool
 	// redirects counts the times that a gate named a trialTarget.
 	redirects int
+	// coldRefusals counts the attempts that the gates of cold targets refused.
+	coldRefusals int
 }
 
 // run makes attempts, bounded by allowance, budget and deadline, until one gives the final answer.
@@ -62,7 +64,7 @@
 		if c.moveOn(ctx, choice, refusal) {
 			continue
 		}
-		if c.redirect(refusal) {
+		if c.redirect(refusal) || c.refusedByCold(answer, refusal) {
 			last = answer
 			continue
 		}
@@ -314,6 +316,9 @@
 	case refusal == nil && answer.Header.GetPassedOn():
 		// The target failed because one of its sub-calls was refused, which says nothing about the target itself.
 		return route.Cancelled
+	case refusal == nil && answer.Header.GetStatus() >= http.StatusInternalServerError && answer.Header.GetLoad().GetColdLeftMs() > 0:
+		// What a cold target answers says nothing about it once it is warm.
+		return route.Cancelled
 	case refusal == nil && answer.Header.GetStatus() >= http.StatusInternalServerError:
 		return route.Failure
 	case refusal == nil:
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -30,6 +30,8 @@
 	sent
 	// withdrawn requests are never sent.
 	withdrawn
+	// refusedAsCold requests are never sent, as their target has become cold.
+	refusedAsCold
 )
 
 // leavingRetryAfter is the RetryAfter of a request that a target did not take as it drains or is gone. The refusal itself tells the node
@@ -150,15 +152,19 @@
 	return true
 }
 
-// mayBegin reports whether the request may be sent, and counts it as sent if so. A target that drains gets no more requests.
+// mayBegin reports whether the request may be sent, and counts it as sent if so. A target that drains gets no more requests, and one that
+// has become cold since the call was admitted only those for which its rate has room.
 func (x *execution) mayBegin() bool {
 	if x.entry.admission.Draining() {
 		x.withdraw()
 	}
+	if x.sending.value.Load() == unsent && !x.permit.Confirm() {
+		x.sending.value.CompareAndSwap(unsent, refusedAsCold)
+	}
 	return x.sending.value.CompareAndSwap(unsent, sent) || x.sending.value.Load() == sent
 }
 
-// roundTrip sends the request, unless the target drains before the first byte is written.
+// roundTrip sends the request, unless the target drains or becomes cold before the first byte is written.
 func (x *execution) roundTrip(r *http.Request) (*http.Response, error) {
 	transport := x.gate.opts.Transport
 	if conditional, ok := transport.(conditionalTransport); ok {
@@ -170,10 +176,14 @@
 	return transport.RoundTrip(r)
 }
 
-// withdrawnRefusal returns the refusal of a request that was withdrawn before it was sent, or nil.
-func (x *execution) withdrawnRefusal() *outcome.Refusal {
-	if x.sending.value.Load() != withdrawn {
+// unsentRefusal returns the refusal of a request that was admitted but may not be sent any more, or nil.
+func (x *execution) unsentRefusal() *outcome.Refusal {
+	switch x.sending.value.Load() {
+	case withdrawn:
+		return leavingRefusal("the target takes no new work, or the request was withdrawn; it was admitted but not sent")
+	case refusedAsCold:
+		return outcome.NotRun(outcome.QueueFull, 0, "the target has become cold; the request was admitted but not sent")
+	default:
 		return nil
 	}
-	return leavingRefusal("the target takes no new work, or the request was withdrawn; it was admitted but not sent")
 }
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -131,7 +131,7 @@
 		x.end(admission.Rejected)
 		return nil, refusal
 	}
-	if refusal := x.withdrawnRefusal(); refusal != nil {
+	if refusal := x.unsentRefusal(); refusal != nil {
 		x.end(admission.Cancelled)
 		return nil, refusal
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -227,8 +227,9 @@
 		p.quarantineExchange = newQuarantineExchange(p)
 	}
 	p.gate = gate.New(gate.Options{
-		KeyChecker:  p.keyChecker,
-		Policies:    policy.AdmissionResolver{Configuration: p.board.Configuration, EntryShedding: p.loadTracker != nil},
+		KeyChecker: p.keyChecker,
+		Policies: policy.AdmissionResolver{Configuration: p.board.Configuration, EntryShedding: p.loadTracker != nil,
+			ColdExcess: s.ColdExcess, ColdSlack: s.ColdSlack},
 		Handles:     handles,
 		CallIndex:   p.callIndex,
 		Clock:       p.env.Clock,
@@ -238,6 +239,7 @@
 		Transport:   p.env.TargetTransport,
 		HeaderNames: p.env.HeaderNames,
 		LoadTracker: p.loadTracker,
+		ColdReading: p.local.ColdReading,
 		OnLeaving:   func(t *registry.Target) { p.local.MarkLeaving(p.env.Clock.Now(), t.Name, t.Started) },
 		Quarantine:  p.quarantine,
 		Targets:     p.effectiveTargetsOf,
@@ -246,6 +248,7 @@
 		},
 		RepeatLimit: gate.RepeatLimit{Ratio: s.RepeatRatio, Reserve: s.RepeatReserve, Window: s.RepeatWindow, Targets: p.countTargets},
 	})
+	p.local.OnColdReading(p.gate.ObserveCold)
 	registerGate(p.peers, p.env.identity, p.gate)
 	if p.loadTracker != nil || p.quarantineExchange != nil {
 		registerLoads(p.peers, p.loadTracker, p.quarantineExchange, p.env.Clock)
@@ -371,6 +374,9 @@
 	p.goRun("targets", func() error { p.refreshTargets(ctx); return nil })
 	p.goRun("drained data centres", func() error { p.followDrains(ctx); return nil })
 	p.goRun("departures", func() error { p.departures.restore(ctx); return nil })
+	if p.env.features.On(feature.ColdProbes) {
+		p.goRun("cold probes", func() error { p.gate.ProbeColdTargets(ctx, targetTransport()); return nil })
+	}
 	if p.quarantineExchange != nil {
 		p.goRun("quarantine exchange", func() error { p.quarantineExchange.run(ctx); return nil })
 	}
--- a/internal/shed/relay.go
+++ b/internal/shed/relay.go
@@ -61,8 +61,11 @@
 	lost float64
 	// fromCaller is true if a caller of the service reported the reading.
 	fromCaller bool
-	at         time.Time
-	origin     origin
+	// coldUntil is when the first of the targets behind the reading is warm; zero unless all are cold. Until then the load compares
+	// arrivals with their cold rates, after that it says nothing.
+	coldUntil time.Time
+	at        time.Time
+	origin    origin
 }
 
 // origin is the source of a reading. Readings of every origin count the same for admission at a node: the
@@ -107,14 +110,22 @@
 func (s *serviceLoad) observe(target string, reported reading) {
 	reported.load = min(reported.load, maxLoad)
 	known := s.byTarget[target]
-	if known == nil || reported.at.Sub(known.at) > readingTTL {
+	switch {
+	case known == nil || reported.at.Sub(known.at) > readingTTL:
 		s.byTarget[target] = &reported
 		return
+	case known.cold() != reported.cold():
+		// Readings from before a target became cold or warm are of another capacity.
+		if reported.at.After(known.at) {
+			s.byTarget[target] = &reported
+		}
+		return
 	}
 	elapsed := max(reported.at.Sub(known.at), time.Millisecond)
 	gain := 1 - math.Exp(-elapsed.Seconds()/readingSmoothing.Seconds())
 	known.load += gain * (reported.load - known.load)
 	known.lost += gain * (reported.lost - known.lost)
+	known.coldUntil = reported.coldUntil
 	known.origin = max(known.origin, reported.origin)
 	if reported.at.After(known.at) {
 		known.at = reported.at
@@ -145,13 +156,13 @@
 // targets don't count. If expected is set, an expected increase adds to the readings of the service's own targets;
 // callers of the service have added it to theirs.
 func (s *serviceLoad) computeMean(now time.Time, least origin, expected bool) reading {
-	var mean reading
-	total, above, increase := 0.0, 0.0, 0.0
+	var mean, cold reading
+	total, above, coldTotal, increase := 0.0, 0.0, 0.0, 0.0
 	if expected {
 		increase = s.increase.remaining(now)
 	}
 	for from, r := range s.byTarget {
-		if now.Sub(r.at) > readingTTL {
+		if now.Sub(r.at) > readingTTL || r.cold() && !now.Before(r.coldUntil) {
 			delete(s.byTarget, from)
 			continue
 		}
@@ -163,8 +174,16 @@
 			load += increase
 		}
 		weight := math.Exp(-now.Sub(r.at).Seconds() / readingWeightDecay.Seconds())
-		total += weight
-		mean.load += weight / total * (load - mean.load)
+		if r.cold() {
+			if cold.coldUntil.IsZero() || r.coldUntil.Before(cold.coldUntil) {
+				cold.coldUntil = r.coldUntil
+			}
+			coldTotal += weight
+			cold.load += weight / coldTotal * (r.load - cold.load)
+		} else {
+			total += weight
+			mean.load += weight / total * (load - mean.load)
+		}
 		if r.fromCaller {
 			above += weight
 			mean.lost += weight / above * (r.lost - mean.lost)
@@ -173,6 +192,9 @@
 			mean.at = r.at
 		}
 	}
+	if coldTotal > 0 && total < minWarmWeight {
+		mean.load, mean.coldUntil = cold.load, cold.coldUntil
+	}
 	return mean
 }
 
@@ -229,11 +251,9 @@
 	c.add(now)
 }
 
-// Observe records the load of a target of this host.
+// Observe records the load of a warm target of this host.
 func (r *LoadTracker) Observe(now time.Time, service, target string, load float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.serviceLoad(service).observe(target, reading{load: load, at: now, origin: originLocal})
+	r.ObserveTarget(now, service, target, TargetLoad{Load: load})
 }
 
 // serviceLoad returns the readings of a service, creating an empty set if needed. The caller holds mu.
@@ -274,6 +294,7 @@
 			load:       float64(p.GetLoadPermille()) / permille,
 			lost:       float64(p.GetLostPermille()) / permille,
 			fromCaller: p.GetService() != w.Service,
+			coldUntil:  coldUntil(now, p.GetColdLeftMs()),
 			at:         now.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond),
 			origin:     downstreamOrigin,
 		}
@@ -303,7 +324,7 @@
 		}
 		if age := now.Sub(known.at); age <= readingTTL && known.origin >= originDirect && !r.services[service].drained[target] {
 			out = append(out, &apiv1.TargetReading{
-				Target: target, LoadPermille: uint32(known.load * permille), AgeMs: uint32(max(age, 0) / time.Millisecond)})
+				ColdLeftMs: coldLeftMs(now, known.coldUntil), Target: target, LoadPermille: uint32(known.load * permille), AgeMs: uint32(max(age, 0) / time.Millisecond)})
 		}
 	}
 	return out
@@ -322,7 +343,7 @@
 		if now.Sub(at) > readingTTL || known != nil && (known.origin == originLocal || !at.After(known.at)) {
 			continue
 		}
-		from[t.GetTarget()] = &reading{load: min(float64(t.GetLoadPermille())/permille, maxLoad), at: at, origin: originDirect}
+		from[t.GetTarget()] = &reading{load: min(float64(t.GetLoadPermille())/permille, maxLoad), coldUntil: coldUntil(now, t.GetColdLeftMs()), at: at, origin: originDirect}
 		taken++
 	}
 	return taken
@@ -348,6 +369,7 @@
 		}
 		report = append(report, &apiv1.Pressure{
 			Service:       name,
+			ColdLeftMs:    coldLeftMs(now, known.coldUntil),
 			LoadPermille:  uint32(known.load * permille),
 			CallsPermille: uint32(calls*permille + 0.5),
 			LostPermille:  uint32(r.lossRate(now, name, known)*permille + 0.5),
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -197,7 +197,6 @@
 // putIdle keeps a connection for another request, and closes those that were idle for too long.
 func (t *Transport) putIdle(c *conn) {
 	now := time.Now()
-	c.used = true
 	c.reuseUntil = now.Add(time.Duration(idleShare * float64(c.idleTime)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
