--- a/internal/dispatch/bounded.go
+++ b/internal/dispatch/bounded.go
@@ -120,6 +120,7 @@
 	data := buffer.Bytes()
 	if err != nil {
 		_ = answer.Body.Close()
+		c.recallBody(&apiv1.CallHeader{RequestId: c.request.Origin.RequestID, Target: choice.Target().Name})
 		r := &outcome.Refusal{Code: outcome.TargetFailed, Ran: outcome.RanUnknown, Reached: true,
 			Detail: "the answer was cut short: " + err.Error()}
 		if ctx.Err() != nil {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -95,7 +95,7 @@
 // redirect makes the next attempt go to the target that a gate named for the trial of a suspect. It reports whether that attempt follows
 // in any case, as this one was not run for no other reason.
 func (c *call) redirect(refusal *outcome.Refusal) bool {
-	if refusal == nil || refusal.TrialTarget == "" || c.redirects >= maxRedirects {
+	if refusal == nil || refusal.TrialTarget == "" || c.redirects >= maxRedirects || !c.request.Body.Replayable() {
 		return false
 	}
 	c.redirects++
@@ -171,6 +171,7 @@
 	choice.Done(observation(answer, now.Sub(start)))
 	c.recordLoads(now, target, answer.Header.GetLoad().GetPressures())
 	if answer.Refusal() != nil {
+		c.recallBody(header)
 		if suspect := answer.Header.GetRefusal().GetSuspect(); suspect != nil {
 			c.suspect = suspect
 		}
@@ -181,6 +182,17 @@
 	return answer
 }
 
+// recallBody takes the body back from a failed attempt, so that another one can follow. Without it none does.
+func (c *call) recallBody(h *apiv1.CallHeader) {
+	if c.request.Body.recall() {
+		return
+	}
+	d := c.dispatcher
+	if leftOut, ok := d.o.LogLimiter.Allow(d.o.Clock.Now()); ok {
+		d.o.Log.Warn("body not returned by an attempt", "request", h.GetRequestId(), "target", h.GetTarget(), "waited", recallTimeout, "left_out", leftOut)
+	}
+}
+
 // recordLoads records the load of services that came with an answer.
 func (c *call) recordLoads(now time.Time, target *registry.Target, reported []*apiv1.Pressure) {
 	relay := c.dispatcher.o.LoadTracker
@@ -223,7 +235,7 @@
 		Method:        r.Method,
 		Path:          r.Path,
 		Headers:       r.Headers,
-		ContentLength: r.Body.Length,
+		ContentLength: r.Body.Length(),
 		Attempt:       uint32(c.attempts),
 		Route:         origin.Route,
 		Host:          r.Host,
@@ -252,10 +264,14 @@
 // send passes the attempt to the gate of the node on the target's host.
 func (c *call) send(ctx context.Context, target *registry.Target, h *apiv1.CallHeader) *gate.Answer {
 	d := c.dispatcher
+	body, err := c.request.Body.Lend()
+	if err != nil {
+		return c.refusalAnswer(h, outcome.NotRun(outcome.TargetUnreachable, 0, "the body can't be sent: %v", err))
+	}
 	if target.Node == d.o.Identity.Node {
-		return d.o.Gate.Do(ctx, h, c.request.Body.reader())
+		return d.o.Gate.Do(ctx, h, body)
 	}
-	answer, err := d.o.Sender.Call(ctx, target.NodeAddress, h, c.request.Body.reader())
+	answer, err := d.o.Sender.Call(ctx, target.NodeAddress, h, body)
 	if err == nil {
 		return c.makeResumable(ctx, target, h, answer)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,7 +32,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -47,6 +46,7 @@
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/policy"
 	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/reqbody"
 	"github.com/guavaford/guavaford/internal/retry"
 	"github.com/guavaford/guavaford/internal/route"
 	"github.com/guavaford/guavaford/internal/shed"
@@ -55,7 +55,7 @@
 
 // Sender carries calls to the gates of other nodes.
 type Sender interface {
-	Call(ctx context.Context, address string, h *apiv1.CallHeader, body io.Reader) (*gate.Answer, error)
+	Call(ctx context.Context, address string, h *apiv1.CallHeader, body *reqbody.Lease) (*gate.Answer, error)
 	Attach(ctx context.Context, address string, key *apiv1.CallKey) (*gate.Answer, error)
 	Fence(ctx context.Context, address string, r *apiv1.FenceRequest) (*apiv1.FenceResponse, error)
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -21,6 +21,7 @@
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/reqbody"
 	"github.com/guavaford/guavaford/internal/retry"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
@@ -34,12 +35,17 @@
 	call   func(attempt int) (*gate.Answer, error)
 	fence  func() (*apiv1.FenceResponse, error)
 	attach func() (*gate.Answer, error)
+	// bodies, if set, is given the body of each call.
+	bodies func(attempt int, body io.ReadCloser)
 	// leave cancels the context of the caller.
 	leave context.CancelFunc
 }
 
-func (s *fakeSender) Call(_ context.Context, _ string, h *apiv1.CallHeader, _ io.Reader) (*gate.Answer, error) {
+func (s *fakeSender) Call(_ context.Context, _ string, h *apiv1.CallHeader, body *reqbody.Lease) (*gate.Answer, error) {
 	s.calls = append(s.calls, h)
+	if s.bodies != nil {
+		s.bodies(len(s.calls), body)
+	}
 	return s.call(len(s.calls))
 }
 
@@ -126,6 +132,7 @@
 		change(r)
 		result = d.Do(ctx, r)
 		took = time.Since(start)
+		r.Body.source.Close(nil)
 	})
 	return result, took
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -5,7 +5,6 @@
 	"io"
 	"time"
 
-	"github.com/pkg/errors"
 	"k8s.io/apimachinery/pkg/labels"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
@@ -13,6 +12,7 @@
 	"github.com/guavaford/guavaford/internal/gate"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/quarantine"
+	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
 // Request is one call that a node dispatches for a caller or for a target on its own host.
@@ -51,80 +51,58 @@
 const MaxBufferedBody = 64 << 10
 
 // Body is a request body. It can be sent again if it is small enough to be buffered, or if no more than its buffered
-// start was sent.
+// start was sent. It has one reader at a time, as package reqbody says: an attempt borrows it, and the next one begins
+// after the lease was returned.
 type Body struct {
-	// Length is the length in bytes; -1 if not known in advance.
-	Length int64
-	// buffered is the start of the body, or all of it if complete is set.
-	buffered []byte
-	complete bool
-	// rest holds what follows buffered; restRead is set once it is read from.
-	rest     io.Reader
-	restRead bool
+	source *reqbody.Body
 	// digested is the digest of the body, once it was asked for.
 	digested []byte
 }
 
+// recallTimeout bounds how long a finished attempt is waited for to return the body. Its exchange has ended by then, so
+// that it neither waits for the caller nor for the target; a write to a connection that is stuck between nodes may take longer.
+const recallTimeout = 250 * time.Millisecond
+
 // digest returns the digest of the body; nil if it is empty. Of a body that is not held in full it covers the start and the length.
 func (b *Body) digest() []byte {
-	if b.digested == nil && len(b.buffered) > 0 {
-		b.digested = quarantine.DigestBody(b.buffered, b.Length)
+	if start, _ := b.source.Start(); b.digested == nil && len(start) > 0 {
+		b.digested = quarantine.DigestBody(start, b.source.Length())
 	}
 	return b.digested
 }
 
 // NewBody reads the start of a body into memory: all of it if it has at most MaxBufferedBody bytes, otherwise one byte
-// more.
-func NewBody(length int64, source io.Reader) (*Body, error) {
-	if length == 0 || source == nil {
-		return &Body{complete: true}, nil
-	}
-	buffered, err := io.ReadAll(io.LimitReader(source, MaxBufferedBody+1))
-	if err != nil {
+// more. The caller may use source again only after it has recalled it.
+func NewBody(source *reqbody.Body) (*Body, error) {
+	if err := source.Buffer(MaxBufferedBody + 1); err != nil {
 		return nil, err
 	}
-	if len(buffered) <= MaxBufferedBody {
-		return &Body{Length: int64(len(buffered)), buffered: buffered, complete: true}, nil
-	}
-	return &Body{Length: length, buffered: buffered, rest: source}, nil
+	return &Body{source: source}, nil
 }
 
 // BufferedBody returns a body whose data is all in memory.
 func BufferedBody(data []byte) *Body {
-	return &Body{Length: int64(len(data)), buffered: data, complete: true}
+	return &Body{source: reqbody.InMemory(data)}
 }
 
+// Length returns the length in bytes; -1 if it is not known in advance.
+func (b *Body) Length() int64 { return b.source.Length() }
+
 // Bytes returns what is in memory of the body, and whether that is all of it.
-func (b *Body) Bytes() ([]byte, bool) {
-	return b.buffered, b.complete
-}
+func (b *Body) Bytes() ([]byte, bool) { return b.source.Start() }
 
-// Replayable reports whether the body can be sent from its start.
-func (b *Body) Replayable() bool {
-	return b.complete || !b.restRead
-}
+// Replayable reports whether the body can be sent from its start: no attempt has it, and none has taken more than its
+// buffered start.
+func (b *Body) Replayable() bool { return b.source.Replayable() }
 
-// reader returns a reader of the body from its start.
-func (b *Body) reader() io.Reader {
-	if b.complete {
-		return bytes.NewReader(b.buffered)
-	}
-	return &bodyReader{body: b, buffered: bytes.NewReader(b.buffered)}
-}
+// Lend lends the body to an attempt.
+func (b *Body) Lend() (*reqbody.Lease, error) { return b.source.Lend() }
 
-// bodyReader reads the buffered start and then the source, and marks the body when it reads from the source.
-type bodyReader struct {
-	body     *Body
-	buffered *bytes.Reader
-}
+// recall takes the body back from an attempt that has ended. It reports whether the attempt has returned it.
+func (b *Body) recall() bool { return b.source.Recall(recallTimeout) }
 
-func (r *bodyReader) Read(p []byte) (int, error) {
-	if r.buffered.Len() > 0 {
-		return r.buffered.Read(p)
-	}
-	r.body.restRead = true
-	return r.body.rest.Read(p)
-}
+// ReadAll reads the complete body into memory, up to limit bytes.
+func (b *Body) ReadAll(limit int64) ([]byte, error) { return b.source.ReadAll(limit) }
 
 // RefusedResult returns the result of a request that is refused without an attempt.
 func RefusedResult(r *outcome.Refusal) *Result {
@@ -140,25 +118,6 @@
 	return &Result{Answer: answer, Attempts: attempts}
 }
 
-// ErrBodyTooLong is returned by ReadAll for a body that exceeds the limit.
-var ErrBodyTooLong = errors.New("body too long")
-
-// ReadAll reads the complete body into memory, up to limit bytes.
-func (b *Body) ReadAll(limit int64) ([]byte, error) {
-	if b.complete {
-		return b.buffered, nil
-	}
-	data, err := io.ReadAll(io.LimitReader(b.reader(), limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(data)) > limit {
-		return nil, ErrBodyTooLong
-	}
-	*b = *BufferedBody(data)
-	return data, nil
-}
-
 // ReplaceBody replaces the answer by a copy whose body is another with the same content.
 func (r *Result) ReplaceBody(body io.ReadCloser) {
 	replaced := *r.Answer
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -24,7 +24,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -39,6 +38,7 @@
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/quarantine"
 	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/reqbody"
 	"github.com/guavaford/guavaford/internal/retry"
 	"github.com/guavaford/guavaford/internal/shed"
 	"github.com/guavaford/guavaford/internal/telemetry"
@@ -266,9 +266,10 @@
 	return loads
 }
 
-// Do runs one call, whose request has the given body, and returns its answer.
+// Do runs one call, whose request has the given body, and returns its answer. The body is returned when nothing more of
+// it is sent to the target, at the latest after the end of the answer; one that was not read need not be.
 // The caller must close the answer's body.
-func (g *Gate) Do(ctx context.Context, h *apiv1.CallHeader, body io.Reader) *Answer {
+func (g *Gate) Do(ctx context.Context, h *apiv1.CallHeader, body *reqbody.Lease) *Answer {
 	e, ok := g.find(h.GetTarget())
 	if !ok || e.target.Service != h.GetService() {
 		return refuse(h, outcome.NotRun(outcome.TargetLeaving, 0, "the target is not on this host"), nil)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -120,7 +119,7 @@
 
 	h := header(false)
 	h.Headers = []*apiv1.HeaderField{{Name: headers.IdempotencyKey, Value: "k"}}
-	refusal := f.gate.Do(t.Context(), h, strings.NewReader("")).Refusal()
+	refusal := f.gate.Do(t.Context(), h, nil).Refusal()
 	require.NotNil(t, refusal)
 	require.Equal(t, outcome.RanUnknown, refusal.Ran)
 	require.Equal(t, int64(1), bookings.Load())
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -14,17 +14,16 @@
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/headers"
 	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
 // opaqueBody hides the type of a body from http.Transport. The transport may resend a safe
 // request without a body, but never one with a body of a type that it does not know.
+// It closes the body when it reads no more of it.
 type opaqueBody struct {
-	io.Reader
+	io.ReadCloser
 }
 
-// Close does nothing.
-func (opaqueBody) Close() error { return nil }
-
 // emptyReader is a body without bytes.
 type emptyReader struct{}
 
@@ -35,7 +34,7 @@
 var resendFields = []string{headers.IdempotencyKey, "X-Idempotency-Key"}
 
 // targetRequest builds the HTTP request for a target of this host.
-func (x *execution) targetRequest(ctx context.Context, body io.Reader) (*http.Request, error) {
+func (x *execution) targetRequest(ctx context.Context, body *reqbody.Lease) (*http.Request, error) {
 	h, names := x.header, x.gate.opts.HeaderNames
 	req, err := http.NewRequestWithContext(ctx, h.GetMethod(), "http://"+x.entry.target.Address+h.GetPath(), nil)
 	if err != nil {
@@ -66,7 +65,7 @@
 
 // setBody sets the request's body such that the transport resends the request only if the
 // call is idempotent.
-func setBody(req *http.Request, h *apiv1.CallHeader, body io.Reader) {
+func setBody(req *http.Request, h *apiv1.CallHeader, body *reqbody.Lease) {
 	req.GetBody = nil
 	switch {
 	case h.GetContentLength() != 0 && body != nil:
@@ -75,7 +74,7 @@
 	case h.GetIdempotent():
 		req.Body = http.NoBody
 	case safeMethod(req.Method):
-		req.Body = opaqueBody{emptyReader{}}
+		req.Body = opaqueBody{io.NopCloser(emptyReader{})}
 	default:
 		req.Body = http.NoBody
 		hideResendFields(req.Header)
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -18,6 +18,7 @@
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/quarantine"
+	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
 // execution is one admitted call that runs at a target.
@@ -107,7 +108,7 @@
 }
 
 // exchange sends the request to the target and waits for the header of its response.
-func (x *execution) exchange(ctx context.Context, body io.Reader) (*http.Response, *outcome.Refusal) {
+func (x *execution) exchange(ctx context.Context, body *reqbody.Lease) (*http.Response, *outcome.Refusal) {
 	req, err := x.targetRequest(ctx, body)
 	if err != nil {
 		x.end(admission.Cancelled)
@@ -196,7 +197,7 @@
 }
 
 // runIdempotent runs an idempotent call, and ends it when its caller is gone.
-func (g *Gate) runIdempotent(ctx context.Context, e *targetEntry, h *apiv1.CallHeader, body io.Reader) *Answer {
+func (g *Gate) runIdempotent(ctx context.Context, e *targetEntry, h *apiv1.CallHeader, body *reqbody.Lease) *Answer {
 	ctx, cancel := g.deadlineContext(ctx, h)
 	permission, refusal := g.admit(ctx, e, h)
 	if refusal != nil {
@@ -256,7 +257,7 @@
 
 // runNonIdempotent runs a non-idempotent call at most once, by its record in the call table. The answer of
 // a duplicate is that of the first attempt.
-func (g *Gate) runNonIdempotent(ctx context.Context, e *targetEntry, h *apiv1.CallHeader, body io.Reader) *Answer {
+func (g *Gate) runNonIdempotent(ctx context.Context, e *targetEntry, h *apiv1.CallHeader, body *reqbody.Lease) *Answer {
 	key := calltable.KeyOf(h.GetKey())
 	queueCtx, cancelQueued := g.deadlineContext(ctx, h)
 	call, result := g.calls.Begin(key, cancelQueued)
@@ -308,7 +309,7 @@
 }
 
 // runToBuffer runs the exchange and writes the answer to the response buffer of the call.
-func (x *execution) runToBuffer(ctx context.Context, call *calltable.Call, body io.Reader) {
+func (x *execution) runToBuffer(ctx context.Context, call *calltable.Call, body *reqbody.Lease) {
 	resp, refusal := x.exchange(ctx, body)
 	if refusal != nil {
 		message := refusal.Message()
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -38,6 +38,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), in.origin.Deadline)
 	defer cancel()
+	defer in.endBody()
 	complete := c.entry.writeResponse(in, c.run(ctx, in))
 	series := telemetry.Series{Organisation: in.origin.Organisation, Class: in.origin.Class}
 	o.Metrics.Latency.Record(series, o.Clock.Now().Sub(start))
--- a/internal/gateway/direct.go
+++ b/internal/gateway/direct.go
@@ -19,6 +19,7 @@
 	"github.com/guavaford/guavaford/internal/headers"
 	"github.com/guavaford/guavaford/internal/http1"
 	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/reqbody"
 	"github.com/guavaford/guavaford/internal/retry"
 	"github.com/guavaford/guavaford/internal/shed"
 	"github.com/guavaford/guavaford/internal/telemetry"
@@ -353,9 +354,11 @@
 		return dispatch.BufferedBody(nil), nil
 	}
 	a.request.SetBodyDeadline(a.origin.Deadline)
-	body, err := dispatch.NewBody(a.request.ContentLength, http.MaxBytesReader(nil, a.request.Body, limit))
+	source := reqbody.New(a.request.ContentLength, a.request.Body)
+	source.SetLimit(limit)
+	body, err := dispatch.NewBody(source)
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, bodyRefusal(err, limit)
 	}
 	return body, nil
 }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -26,6 +26,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/guavaford/guavaford/internal/board"
 	"github.com/guavaford/guavaford/internal/buffer"
 	"github.com/guavaford/guavaford/internal/callctx"
@@ -35,6 +37,7 @@
 	"github.com/guavaford/guavaford/internal/headers"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/rate"
+	"github.com/guavaford/guavaford/internal/reqbody"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
@@ -79,6 +82,8 @@
 	origin  *callctx.Origin
 	// path is the path and query that the target receives.
 	path string
+	// source is the body, once it was asked for.
+	source *reqbody.Body
 	// secret is the caller's key. It is removed from the header fields that are forwarded.
 	secret string
 }
@@ -124,17 +129,32 @@
 	_ = controller.EnableFullDuplex()
 	// Not every connection supports read deadlines; without one the deadline of the request's context still applies.
 	_ = controller.SetReadDeadline(in.origin.Deadline)
-	body, err := dispatch.NewBody(in.request.ContentLength, http.MaxBytesReader(in.writer, in.request.Body, limit))
+	in.source = reqbody.New(in.request.ContentLength, http.MaxBytesReader(in.writer, in.request.Body, limit))
+	body, err := dispatch.NewBody(in.source)
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, bodyRefusal(err, limit)
 	}
 	return body, nil
 }
 
-// bodyRefusal returns the refusal of a request whose body could not be read. The request was not dispatched yet.
-func bodyRefusal(err error) *outcome.Refusal {
-	if tooLarge, ok := err.(*http.MaxBytesError); ok {
-		return outcome.NotRun(outcome.BodyTooLarge, 0, "the body exceeds %d bytes", tooLarge.Limit)
+// endBody ends the use of the body. net/http reads the rest of it, or closes the connection, after the handler has
+// returned, so nobody may read it then.
+func (in *inbound) endBody() {
+	if in.source == nil {
+		return
+	}
+	in.source.Close(func() { _ = http.NewResponseController(in.writer).SetReadDeadline(time.Unix(1, 0)) })
+}
+
+// bodyRefusal returns the refusal of a request whose body could not be read within the limit. The request was not
+// dispatched yet.
+func bodyRefusal(err error, limit int64) *outcome.Refusal {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		limit = tooLarge.Limit
+	}
+	if tooLarge != nil || errors.Is(err, reqbody.ErrTooLong) {
+		return outcome.NotRun(outcome.BodyTooLarge, 0, "the body exceeds %d bytes", limit)
 	}
 	return outcome.NotRun(outcome.BadRequest, 0, "the body could not be read")
 }
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -14,6 +14,7 @@
 	"github.com/guavaford/guavaford/internal/dispatch"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/reqbody"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
@@ -241,11 +242,11 @@
 // wholeBody reads a request's body into memory.
 func wholeBody(req *dispatch.Request) ([]byte, *outcome.Refusal) {
 	body, err := req.Body.ReadAll(maxRunBodyBytes)
-	if err == dispatch.ErrBodyTooLong {
+	if err == reqbody.ErrTooLong {
 		return nil, outcome.NotRun(outcome.BodyTooLarge, 0, "the body of a request with Idempotency-Key exceeds %d bytes", maxRunBodyBytes)
 	}
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, bodyRefusal(err, maxRunBodyBytes)
 	}
 	return body, nil
 }
--- a/internal/gateway/subcalls.go
+++ b/internal/gateway/subcalls.go
@@ -45,6 +45,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), in.origin.Deadline)
 	defer cancel()
+	defer in.endBody()
 	stop := context.AfterFunc(running.Context, cancel)
 	defer stop()
 	running.StartSubCall(o.Clock.Now())
--- a/internal/node/sender.go
+++ b/internal/node/sender.go
@@ -11,6 +11,7 @@
 	"github.com/guavaford/guavaford/internal/gate"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/rate"
+	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
 // sender sends calls to the gates of other nodes.
@@ -19,7 +20,7 @@
 }
 
 // Call sends a call and waits for the header of its answer.
-func (s sender) Call(ctx context.Context, address string, h *apiv1.CallHeader, body io.Reader) (*gate.Answer, error) {
+func (s sender) Call(ctx context.Context, address string, h *apiv1.CallHeader, body *reqbody.Lease) (*gate.Answer, error) {
 	answer, err := s.pool.Call(ctx, address, h, body)
 	if err != nil {
 		return nil, err
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -33,7 +33,7 @@
 	b.SetBytes(int64(size))
 	b.ReportAllocs()
 	call := func() {
-		answer, err := pool.Call(context.Background(), address, newCall(number.Add(1), size), bytes.NewReader(body))
+		answer, err := pool.Call(context.Background(), address, newCall(number.Add(1), size), lend(bytes.NewReader(body)))
 		require.NoError(b, err)
 		_, err = io.Copy(io.Discard, answer.Body)
 		require.NoError(b, err)
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
 // Answer is the answer to a call.
@@ -34,8 +35,9 @@
 
 // Call sends a call with its body to the node at address and waits for the
 // header of the answer. The context also applies to reading the answer's body. The
-// error is a *CallError; body may be nil.
-func (p *Pool) Call(ctx context.Context, address string, h *apiv1.CallHeader, body io.Reader) (*Answer, error) {
+// error is a *CallError; body may be nil. The body is returned when nothing more of it
+// is sent, at the latest after the end of the exchange; one that was not read need not be.
+func (p *Pool) Call(ctx context.Context, address string, h *apiv1.CallHeader, body *reqbody.Lease) (*Answer, error) {
 	x, err := p.openExchange(ctx, address, apiv1.Method_METHOD_CALL)
 	if err != nil {
 		return nil, err
@@ -88,7 +90,7 @@
 // sendCall sends the header and a small body in one write. A larger body, or one of
 // unknown length, is sent by a separate goroutine, since the peer may answer before it
 // has read the whole body.
-func (x *exchange) sendCall(h *apiv1.CallHeader, body io.Reader) error {
+func (x *exchange) sendCall(h *apiv1.CallHeader, body *reqbody.Lease) error {
 	buf := newFrameBuffer()
 	if err := x.addHeader(buf, x.history.compressCall(h, x.conn.self)); err != nil {
 		buf.release()
@@ -115,7 +117,8 @@
 	return nil
 }
 
-func (x *exchange) sendInline(buf *frameBuffer, w *bodyWriter, body io.Reader, length int) error {
+func (x *exchange) sendInline(buf *frameBuffer, w *bodyWriter, body *reqbody.Lease, length int) error {
+	defer func() { _ = body.Close() }()
 	scratch := scratchPool.Get().(*[]byte)
 	defer scratchPool.Put(scratch)
 	data := (*scratch)[:length]
@@ -137,9 +140,10 @@
 	return nil
 }
 
-// sendBody sends a body frame by frame. It returns at the end of the body, when reading
-// the body fails, and when the exchange has ended.
-func (x *exchange) sendBody(buf *frameBuffer, w *bodyWriter, body io.Reader) {
+// sendBody sends a body frame by frame, and then returns it to its owner. It ends at the end of
+// the body, when reading the body fails, and when the exchange has ended and the body is recalled.
+func (x *exchange) sendBody(buf *frameBuffer, w *bodyWriter, body *reqbody.Lease) {
+	defer func() { _ = body.Close() }()
 	defer buf.release()
 	scratch := scratchPool.Get().(*[]byte)
 	defer scratchPool.Put(scratch)
--- a/internal/peer/failure_test.go
+++ b/internal/peer/failure_test.go
@@ -13,6 +13,7 @@
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/memnet"
 	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
 // silenceBound is the time within which a silent connection must be detected: three
@@ -56,7 +57,9 @@
 		Key:           &apiv1.CallKey{Node: "a", Incarnation: 1, Number: f.number},
 		ContentLength: int64(size),
 	}
-	return f.pool.Call(ctx, "b:1", header, bytes.NewReader(make([]byte, size)))
+	body, err := reqbody.NewInterruptible(int64(size), bytes.NewReader(make([]byte, size)), func() {}).Lend()
+	require.NoError(f.t, err)
+	return f.pool.Call(ctx, "b:1", header, body)
 }
 
 // roundTrip makes one call, reads its answer and returns the first error.
--- a/internal/peer/incoming.go
+++ b/internal/peer/incoming.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,48 +12,9 @@
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
-// incomingBody is the body of a request. A goroutine that the handler started may still
-// read it when the handler has answered and returned.
-type incomingBody struct {
-	mu     sync.Mutex
-	reader bodyReader
-	closed bool
-}
-
-// Read returns the next part of the body.
-func (b *incomingBody) Read(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.closed {
-		return 0, io.ErrUnexpectedEOF
-	}
-	return b.reader.Read(p)
-}
-
-// closeReceived closes the body and reports whether all of it has arrived. It does not
-// wait: while another goroutine reads, it returns false and leaves the body open.
-func (b *incomingBody) closeReceived() bool {
-	if !b.mu.TryLock() {
-		return false
-	}
-	defer b.mu.Unlock()
-	b.reader.discardBuffered()
-	b.closed = true
-	return b.reader.complete()
-}
-
-// close closes the body after waiting for a goroutine that still reads. The read buffer
-// can be reused then.
-func (b *incomingBody) close() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.closed = true
-	b.reader.unread = nil
-	b.reader.release()
-}
-
 // overloadRetryAfter is the retry delay sent to a caller when its connection carries too many exchanges.
 const overloadRetryAfter = 50 * time.Millisecond
 
@@ -64,16 +24,19 @@
 type IncomingCall struct {
 	// Header is the header of the call. For an attached call it holds only the key.
 	Header *apiv1.CallHeader
-	// Body ends with io.EOF after a complete body, and with io.ErrUnexpectedEOF otherwise.
-	Body io.Reader
+	// Body ends with io.EOF after a complete body, and with io.ErrUnexpectedEOF otherwise. The handler may pass it on to
+	// a goroutine that still reads it when the handler has returned; it then fails with an error that is not io.EOF.
+	Body *reqbody.Lease
 	// From is the node that opened the exchange.
 	From Identity
 
-	ctx      context.Context
-	stream   net.Conn
-	history  *headerHistory
-	buf      *frameBuffer
-	body     incomingBody
+	ctx     context.Context
+	stream  net.Conn
+	history *headerHistory
+	buf     *frameBuffer
+	// reader reads the body; while source is lent, only the holder of Body uses it. source is nil for an empty body.
+	reader   bodyReader
+	source   *reqbody.Body
 	out      bodyWriter
 	answered bool
 	closed   bool
@@ -91,12 +54,38 @@
 
 func (ss *serverSession) newIncoming(ctx context.Context, stream net.Conn, reader *bufio.Reader, header *apiv1.CallHeader) *IncomingCall {
 	in := &IncomingCall{Header: header, From: ss.remote, ctx: ctx, stream: stream, buf: newFrameBuffer()}
-	in.body.reader.reset(reader)
+	in.reader.reset(reader)
 	in.out.reset()
-	in.Body = &in.body
+	if header.GetContentLength() != 0 {
+		in.source = reqbody.NewInterruptible(header.GetContentLength(), &in.reader, in.interruptBody)
+		// A body that was never lent can be lent.
+		in.Body, _ = in.source.Lend()
+	}
 	return in
 }
 
+// interruptBody makes a blocked read of the body return. The stream can't be reused then.
+func (in *IncomingCall) interruptBody() { _ = in.stream.SetReadDeadline(expiredDeadline) }
+
+// takeBody ends the use of the body by the handler and reports whether all of it has arrived. It does not wait: while the
+// body is being read, it returns false and leaves it to its reader.
+func (in *IncomingCall) takeBody() bool {
+	if in.source != nil && !in.source.Reclaim() {
+		return false
+	}
+	in.reader.discardBuffered()
+	return in.reader.complete()
+}
+
+// releaseBody ends the use of the body and waits for a goroutine that still reads it. The read buffer can be reused then.
+func (in *IncomingCall) releaseBody() {
+	if in.source != nil {
+		in.source.Close(nil)
+	}
+	in.reader.unread = nil
+	in.reader.release()
+}
+
 func (ss *serverSession) serveCall(stream net.Conn, reader *bufio.Reader, header *apiv1.StreamHeader, history *headerHistory) bool {
 	call := &apiv1.CallHeader{}
 	if err := readFrame(reader, call, maxHeaderBytes); err != nil {
@@ -126,7 +115,7 @@
 	in := ss.newIncoming(ctx, stream, reader, &apiv1.CallHeader{Key: attach.Key})
 	in.history = history
 	// The request has no body.
-	in.body.reader.err = io.EOF
+	in.reader.err = io.EOF
 	if refusal := ss.refuseCall(ss.server.attach == nil); refusal != nil {
 		// The call itself may have run; only the attach request was refused.
 		refusal.Ran = outcome.RanUnknown
@@ -214,7 +203,7 @@
 		return errAlreadyAnswered
 	}
 	in.closed = true
-	reuse := in.body.closeReceived() && in.ctx.Err() == nil
+	reuse := in.takeBody() && in.ctx.Err() == nil
 	if err := in.out.finishAnswer(in.buf, allowanceLeft, reuse); err != nil {
 		return err
 	}
@@ -272,8 +261,8 @@
 	in.buf = nil
 	if !in.reuse {
 		// Unblocks a goroutine of the handler that still reads the body.
-		_ = in.stream.SetReadDeadline(expiredDeadline)
+		in.interruptBody()
 	}
-	in.body.close()
+	in.releaseBody()
 	return in.reuse
 }
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -100,7 +100,7 @@
 	number := uint64(0)
 	roundTrip := func(size int) error {
 		number++
-		answer, err := pool.Call(context.Background(), f.listener.Addr().String(), newCall(number, size), bytes.NewReader(make([]byte, size)))
+		answer, err := pool.Call(context.Background(), f.listener.Addr().String(), newCall(number, size), lend(bytes.NewReader(make([]byte, size))))
 		if err != nil {
 			return err
 		}
--- a/internal/peer/yamux_test.go
+++ b/internal/peer/yamux_test.go
@@ -81,7 +81,7 @@
 
 	for number, size := range []int{0, 1, inlineBodyBytes, inlineBodyBytes + 1, maxFrameData * 3, 1 << 20} {
 		want := bytes.Repeat([]byte{byte(number + 1)}, size)
-		answer, err := pool.Call(ctx, address, newCall(uint64(number), size), bytes.NewReader(want))
+		answer, err := pool.Call(ctx, address, newCall(uint64(number), size), lend(bytes.NewReader(want)))
 		require.NoError(t, err)
 		require.Equal(t, uint32(200), answer.Header.Status)
 		require.Equal(t, Identity{Node: "b", Incarnation: 2}, answer.From)
@@ -98,7 +98,7 @@
 // TestUnknownLengthBody guards against the loss of a body that is sent without an announced length.
 func TestUnknownLengthBody(t *testing.T) {
 	_, pool, address := startLoopback(t, echo)
-	answer, err := pool.Call(context.Background(), address, newCall(1, -1), io.MultiReader(strings.NewReader("one "), strings.NewReader("two")))
+	answer, err := pool.Call(context.Background(), address, newCall(1, -1), lend(io.MultiReader(strings.NewReader("one "), strings.NewReader("two"))))
 	require.NoError(t, err)
 	got, err := io.ReadAll(answer.Body)
 	require.NoError(t, err)
