--- a/internal/gateway/direct.go
+++ b/internal/gateway/direct.go
@@ -19,7 +19,6 @@
 	"github.com/guavaford/guavaford/internal/headers"
 	"github.com/guavaford/guavaford/internal/http1"
 	"github.com/guavaford/guavaford/internal/outcome"
-	"github.com/guavaford/guavaford/internal/reqbody"
 	"github.com/guavaford/guavaford/internal/retry"
 	"github.com/guavaford/guavaford/internal/shed"
 	"github.com/guavaford/guavaford/internal/telemetry"
@@ -354,7 +353,7 @@
 		return dispatch.BufferedBody(nil), nil
 	}
 	a.request.SetBodyDeadline(a.origin.Deadline)
-	source := reqbody.New(a.request.ContentLength, a.request.Body)
+	source := a.request.Source()
 	source.SetLimit(limit)
 	body, err := dispatch.NewBody(source)
 	if err != nil {
--- a/internal/http1/doc.go
+++ b/internal/http1/doc.go
@@ -14,8 +14,12 @@
 // ends are rejected here: those with both Content-Length and Transfer-Encoding, or with several
 // Transfer-Encoding fields.
 //
+// The body of a request has one reader at a time (package reqbody). While a response is streamed, the handler's
+// goroutines may still forward the body; only when the stream is closed and they have returned the body does the exchange
+// read the rest, so that the connection can be used for the next request. The response never waits for the body.
+//
 // # Data flow
 //
 //	conn.serve: wait for a request -> read its header -> start an exchange -> wait until its body is read
-//	exchange:   run the handler -> wait for the earlier exchanges -> write the response
+//	exchange:   run the handler -> wait for the earlier exchanges -> write the response -> read the rest of the body
 package http1
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
 // Request is one request of a caller.
@@ -29,6 +31,11 @@
 // Late reports whether the server has stopped accepting connections, so that it may end before a request that starts now.
 func (r *Request) Late() bool { return r.exchange.conn.server.isClosed() }
 
+// Source returns the body of the request for a handler that forwards it; nil if the request has none. It belongs to the handler until the
+// handler has returned and the stream of its response is closed. A lease of the body must have been returned by then, or its holder's
+// reads fail.
+func (r *Request) Source() *reqbody.Body { return r.exchange.body }
+
 // SetBodyDeadline sets the time by which the body must have arrived.
 func (r *Request) SetBodyDeadline(deadline time.Time) {
 	r.exchange.conn.setBodyDeadline(deadline)
@@ -50,11 +57,20 @@
 	// Length is the length of Stream in bytes; -1 if not known in advance.
 	Length int64
 	// Close ends the connection after the response.
-	Close bool
+	Close  bool
+	closed bool
 	// Replace, if set, returns the response to send if Stream can't be sent because of Limits.MaxStreams. It says that the request ran.
 	Replace func() *Response
 }
 
+// closeStream closes the stream, if there is one, once.
+func (r *Response) closeStream() {
+	if r.Stream != nil && !r.closed {
+		r.closed = true
+		_ = r.Stream.Close()
+	}
+}
+
 // replacement returns the response in place of one whose Stream can't be sent.
 func (r *Response) replacement() *Response {
 	if r.Replace == nil {
--- a/internal/http1/turn.go
+++ b/internal/http1/turn.go
@@ -5,12 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/guavaford/guavaford/internal/buffer"
+	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
 // exchange is one request on a connection and its response.
@@ -20,6 +19,9 @@
 	// previous is closed when the request before this one is answered, done when this one is.
 	previous <-chan struct{}
 	done     chan struct{}
+	// body is the body of the request; nil if it has none. source is what it is read from.
+	body   *reqbody.Body
+	source *source
 	// bodyRead is closed when nothing more of the body will be read. unread is set before that if a part of the body is
 	// left on the connection, so that no further request can be read from it.
 	bodyRead chan struct{}
@@ -29,16 +31,15 @@
 	blockedSince atomic.Int64
 }
 
-// run calls the handler, waits until the earlier requests are answered, and writes the response.
+// run calls the handler, waits until the earlier requests are answered, writes the response and reads what is left of the
+// body. A body that is not read yet doesn't delay the response.
 func (x *exchange) run() {
 	defer x.conn.endRequest()
 	defer close(x.done)
-	defer x.releaseBody(false)
+	defer x.stopBody()
 	x.wrapBody()
 	response := x.conn.server.handler.Serve(x.conn.requests, &Request{Request: x.request, exchange: x})
-	if response.Stream != nil {
-		defer response.Stream.Close()
-	}
+	defer response.closeStream()
 	select {
 	case <-x.previous:
 	case <-x.conn.ctx.Done():
@@ -47,8 +48,7 @@
 	if !x.conn.open() {
 		return
 	}
-	x.discardBody()
-	closing := response.Close || x.request.Close || x.unread || x.conn.lastResponse()
+	closing := response.Close || x.request.Close || x.bodyLeft() || x.conn.lastResponse()
 	if closing {
 		x.conn.stopResponses()
 	}
@@ -56,6 +56,7 @@
 		if x.beginStream() {
 			defer x.conn.server.streams.end(x)
 		} else {
+			response.closeStream()
 			response = response.replacement()
 		}
 	}
@@ -63,7 +64,14 @@
 		x.conn.abort()
 		return
 	}
+	response.closeStream()
+	x.conn.server.streams.end(x)
+	if !x.discardBody() && !closing {
+		closing = true
+		x.conn.stopResponses()
+	}
 	if closing {
+		x.stopBody()
 		x.conn.linger()
 		x.conn.abort()
 	}
@@ -128,90 +136,3 @@
 	}
 	return nil
 }
-
-// trackedBody is the body of a request that lets the connection read the next request once it was read to its end.
-type trackedBody struct {
-	exchange *exchange
-	source   io.ReadCloser
-	mu       sync.Mutex
-	closed   bool
-	begun    bool
-}
-
-// wrapBody replaces the body by a trackedBody, or releases the connection at once if the request has no body.
-func (x *exchange) wrapBody() {
-	if x.request.Body == nil || x.request.Body == http.NoBody || x.request.ContentLength == 0 {
-		x.releaseBody(true)
-		return
-	}
-	x.request.Body = &trackedBody{exchange: x, source: x.request.Body}
-}
-
-// Read reads the body. The first read sends the interim response 100 to a caller that waits for it.
-func (b *trackedBody) Read(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.closed {
-		return 0, http.ErrBodyReadAfterClose
-	}
-	if !b.begun {
-		b.begun = true
-		if strings.EqualFold(b.exchange.request.Header.Get("Expect"), "100-continue") {
-			<-b.exchange.previous
-			if err := b.exchange.conn.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-				return 0, err
-			}
-		}
-	}
-	n, err := b.source.Read(p)
-	if err == io.EOF {
-		b.exchange.releaseBody(true)
-	}
-	return n, err
-}
-
-// Close makes further reads fail. The connection then ends unless the body was read to its end.
-func (b *trackedBody) Close() error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.closed = true
-	return nil
-}
-
-// discardBody reads what the handler left of the body, up to maxUnreadBody, so that the connection can be used for the
-// next request.
-func (x *exchange) discardBody() {
-	body, ok := x.request.Body.(*trackedBody)
-	if !ok {
-		return
-	}
-	select {
-	case <-x.bodyRead:
-		return
-	default:
-	}
-	if !body.begun && x.request.Header.Get("Expect") != "" {
-		x.releaseBody(false)
-		return
-	}
-	x.conn.setBodyDeadline(time.Now().Add(x.conn.server.limits().HeaderTimeout))
-	n, err := io.CopyN(io.Discard, body, maxUnreadBody)
-	x.releaseBody(err == io.EOF && n < maxUnreadBody)
-}
-
-// releaseBody lets the goroutine that reads the connection continue, or end if the body was not read completely.
-func (x *exchange) releaseBody(read bool) {
-	x.once.Do(func() {
-		x.unread = !read
-		if _, bounded := x.request.Body.(*trackedBody); bounded {
-			x.conn.setBodyDeadline(time.Time{})
-		}
-		close(x.bodyRead)
-	})
-}
-
-// awaitBody waits until the body is read or given up. It returns true if the next request can then be read.
-func (x *exchange) awaitBody() bool {
-	<-x.bodyRead
-	return !x.unread
-}
