--- a/internal/dispatch/coldworld_test.go
+++ b/internal/dispatch/coldworld_test.go
@@ -25,6 +25,7 @@
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/reqbody"
 	"github.com/guavaford/guavaford/internal/retry"
 	"github.com/guavaford/guavaford/internal/route"
 	"github.com/guavaford/guavaford/internal/shed"
@@ -103,7 +104,7 @@
 func (f *coldFleet) CheckKeyNumber(uint64) *outcome.Refusal { return nil }
 
 // Call passes a call on to the gate of the node at the address.
-func (f *coldFleet) Call(ctx context.Context, address string, h *apiv1.CallHeader, body io.Reader) (*gate.Answer, error) {
+func (f *coldFleet) Call(ctx context.Context, address string, h *apiv1.CallHeader, body *reqbody.Lease) (*gate.Answer, error) {
 	time.Sleep(coldNetwork)
 	for _, target := range f.targets {
 		if target.record.NodeAddress == address {
--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -21,6 +21,7 @@
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/reqbody"
 	"github.com/guavaford/guavaford/internal/retry"
 	"github.com/guavaford/guavaford/internal/route"
 	"github.com/guavaford/guavaford/internal/telemetry"
@@ -82,9 +83,16 @@
 // TestBodyThatWasReadIsNotSentOn guards against another target that gets a part of a body only: the request is refused as not run.
 func TestBodyThatWasReadIsNotSentOn(t *testing.T) {
 	s := refuseFirst(9, leaving)
+	s.bodies = func(_ int, body io.ReadCloser) {
+		_, err := io.Copy(io.Discard, body)
+		require.NoError(t, err)
+		require.NoError(t, body.Close())
+	}
 	result, _ := sendWith(t, s, func(r *Request) {
 		bounded(2, false)(r)
-		r.Body = &Body{Length: 1 << 20, restRead: true}
+		body, err := NewBody(reqbody.New(1<<20, bytes.NewReader(make([]byte, 1<<20))))
+		require.NoError(t, err)
+		r.Body = body
 	})
 	require.Len(t, s.calls, 1)
 	require.Equal(t, outcome.TargetLeaving, result.Refusal().Code)
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -216,7 +215,7 @@
 	require.Nil(t, refusal)
 	h.changed(func(r *registry.Target) { r.State = apiv1.TargetState_TARGET_STATE_LEAVING })
 	x := h.gate.begin(ctx, cancel, e, call, admitted{permit: permit})
-	_, refusal = x.exchange(ctx, strings.NewReader(""))
+	_, refusal = x.exchange(ctx, nil)
 	require.NotNil(t, refusal)
 	require.Equal(t, outcome.TargetLeaving, refusal.Code)
 	require.Equal(t, outcome.RanNo, refusal.Ran)
--- a/internal/gateway/direct.go
+++ b/internal/gateway/direct.go
@@ -369,9 +369,11 @@
 		return dispatch.BufferedBody(nil), nil
 	}
 	a.request.SetBodyDeadline(a.origin.Deadline)
-	body, err := dispatch.NewBody(a.request.ContentLength, http.MaxBytesReader(nil, a.request.Body, limit))
+	source := a.request.Source()
+	source.SetLimit(limit)
+	body, err := dispatch.NewBody(source)
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, bodyRefusal(err, limit)
 	}
 	return body, nil
 }
