Leave the waiting of a request's calls out of the load of its own service

Cause: requests held their slots of the second service while their calls waited for slots of the last one, so that both services were taken for overloaded (loads of 1.5 to 2.5). The share admitted to the second fell to almost nothing and had to rise again.

Change: answers tell the time for which their call and the calls below waited for slots; the meter of a service leaves the waiting of its requests' calls out.

--- a/internal/callctx/running.go
+++ b/internal/callctx/running.go
@@ -18,6 +18,8 @@
 
 	// refused is set once a sub-call was refused.
 	refused atomic.Bool
+	// queueTime is the time in nanoseconds for which sub-calls, and the calls below them, waited for slots.
+	queueTime atomic.Int64
 
 	mu sync.Mutex
 	// active is the number of sub-calls in progress.
@@ -54,6 +56,16 @@
 	return r.refused.Load()
 }
 
+// AddQueueTime records the time for which a sub-call, and the calls below it, waited for slots.
+func (r *RunningCall) AddQueueTime(d time.Duration) {
+	r.queueTime.Add(int64(d))
+}
+
+// QueueTime returns the total of AddQueueTime.
+func (r *RunningCall) QueueTime() time.Duration {
+	return time.Duration(r.queueTime.Load())
+}
+
 // StartSubCall records the start of a sub-call.
 func (r *RunningCall) StartSubCall(now time.Time) {
 	r.mu.Lock()
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -26,6 +26,8 @@
 	// attempts counts the attempts, moves those that were sent on to another target since theirs drained; these are not among attempts.
 	attempts int
 	moves    int
+	// queueTime is the time for which the attempts, and the calls made for them, waited for slots.
+	queueTime time.Duration
 	// backoffs counts the waits before another attempt.
 	backoffs int
 	// tried lists the targets of earlier attempts.
@@ -143,7 +145,7 @@
 	if refusal != nil && c.attempts > 1 {
 		answer.Header.Refusal.Retried = true
 	}
-	return &Result{Answer: answer, Attempts: c.attempts}
+	return &Result{Answer: answer, Attempts: c.attempts, QueueTime: c.queueTime}
 }
 
 // takeRetry reports whether another attempt is allowed, and takes it from the budget and the allowance if so.
@@ -190,6 +192,7 @@
 	now := d.o.Clock.Now()
 	choice.Done(observation(answer, now.Sub(start)))
 	c.recordLoads(now, target, answer.Header.GetLoad().GetPressures())
+	c.queueTime += time.Duration(answer.Header.GetLoad().GetQueuedUs()) * time.Microsecond
 	if answer.Refusal() != nil {
 		c.recallBody(header)
 		if suspect := answer.Header.GetRefusal().GetSuspect(); suspect != nil {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -48,6 +48,8 @@
 	Attempts int
 	// Cold is true if the call was refused because all targets of its service are cold.
 	Cold bool
+	// QueueTime is the time for which the attempts, and the calls made for them, waited for slots.
+	QueueTime time.Duration
 	// Replayed is true when the answer was taken from a run record.
 	Replayed bool
 }
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -21,6 +21,9 @@
 	// SuccessProbability refuses new requests that are unlikely to finish because too many of their calls are
 	// lost.
 	SuccessProbability Name = "finish-chance"
+	// NestedQueueing leaves the time for which the calls of a request wait at services below out of the load of its
+	// own service.
+	NestedQueueing Name = "nested-queueing"
 	// LoadExchange exchanges load readings between nodes with targets of the same service.
 	LoadExchange Name = "load-exchange"
 	// ScanAllTargets considers all targets of the local data centre before a call leaves it.
@@ -48,6 +51,7 @@
 }{
 	{EntryShedding, "refuse new requests if a service that they call is overloaded"},
 	{SuccessProbability, "refuse new requests that are unlikely to finish because calls are lost"},
+	{NestedQueueing, "leave the waiting of a request's calls out of the load of its own service"},
 	{LoadExchange, "exchange load readings between nodes with targets of the same service"},
 	{ScanAllTargets, "consider all targets of the data centre before a call leaves it"},
 	{SlowTargets, "avoid slow targets"},
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -214,7 +214,7 @@
 	permit, refusal := e.admission.Acquire(ctx, admission.Request{})
 	require.Nil(t, refusal)
 	h.changed(func(r *registry.Target) { r.State = apiv1.TargetState_TARGET_STATE_LEAVING })
-	x := h.gate.begin(ctx, cancel, e, call, admitted{permit: permit})
+	x := h.gate.begin(ctx, cancel, e, call, admitted{permit: permit}, time.Now())
 	_, refusal = x.exchange(ctx, nil)
 	require.NotNil(t, refusal)
 	require.Equal(t, outcome.TargetLeaving, refusal.Code)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -86,6 +86,9 @@
 	LoadTracker *shed.LoadTracker
 	// ColdReading, if set, returns the latest reading of the cold time of a target of the host, in the run that started at a time.
 	ColdReading func(name string, started time.Time) (coldstart.Reading, bool)
+	// CountNestedQueueing makes the time for which the calls of a request wait for slots below count as work of the
+	// request's own target.
+	CountNestedQueueing bool
 	// Quarantine, if set, holds what is known of requests that were in flight when targets crashed.
 	Quarantine *quarantine.Table
 	// Targets returns the targets of a service in the fleet.
@@ -204,6 +207,18 @@
 	return m
 }
 
+// loadOfRefused is load for a call that arrived at a time and was refused before it ran.
+func (g *Gate) loadOfRefused(e *targetEntry, h *apiv1.CallHeader, arrived time.Time) *apiv1.LoadReport {
+	m := g.load(e, h)
+	m.QueuedUs = microseconds(g.opts.Clock.Now().Sub(arrived))
+	return m
+}
+
+// microseconds converts a duration for the wire.
+func microseconds(d time.Duration) uint64 {
+	return uint64(max(d, 0) / time.Microsecond)
+}
+
 // New returns a gate without targets.
 func New(o Options) *Gate {
 	if o.HeaderNames == nil {
--- a/internal/gate/pressure_test.go
+++ b/internal/gate/pressure_test.go
@@ -11,8 +11,10 @@
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/callctx"
 	"github.com/guavaford/guavaford/internal/headers"
 	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/retry"
 	"github.com/guavaford/guavaford/internal/shed"
 )
@@ -76,3 +78,30 @@
 	reading := e.meter.Read(time.Now(), shed.Capacity{Slots: 10})
 	require.Less(t, reading.Load, 0.2, "load with one request at a time in ten slots: %+v", reading)
 }
+
+// TestWaitingOfSubCallsIsReportedAndNoLoad guards against a service that looks overloaded because the calls of its requests
+// wait for slots elsewhere, and against a wait that the services above don't learn of.
+func TestWaitingOfSubCallsIsReportedAndNoLoad(t *testing.T) {
+	const held, waited = 40 * time.Millisecond, 30 * time.Millisecond
+	f := newFixture(t, "", 10)
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		running, ok := f.handles.Find(callctx.Handle(r.Header.Get(headers.Handle)))
+		if ok {
+			running.AddQueueTime(waited)
+		}
+		time.Sleep(held)
+	}))
+	defer target.Close()
+	address := strings.TrimPrefix(target.URL, "http://")
+	f.gate.SetTargets([]*registry.Target{{Name: "t1", Service: "s", Node: "n", Address: address, Slots: 10}})
+	for range 10 {
+		answer := f.gate.Do(t.Context(), header(true), nil)
+		read(t, answer)
+		require.GreaterOrEqual(t, time.Duration(answer.Header.GetLoad().GetQueuedUs())*time.Microsecond, waited)
+	}
+	e, ok := f.gate.find("t1")
+	require.True(t, ok)
+	used := e.meter.Read(time.Now(), shed.Capacity{Slots: 10}).MeanServiceTime
+	require.Greater(t, used, 5*time.Millisecond)
+	require.Less(t, used, held, "the waiting of sub-calls is left out")
+}
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -34,8 +34,10 @@
 	// suspect is what is known of the request, if its target crashed while it was in flight.
 	suspect *apiv1.QuarantineRecord
 	// handle identifies the call in requests of its target; empty if targets get no handle.
-	handle  callctx.Handle
-	cancel  context.CancelFunc
+	handle callctx.Handle
+	cancel context.CancelFunc
+	// arrived is when the call reached the gate, started when it was sent to the target.
+	arrived time.Time
 	started time.Time
 	// sending says whether the request has been sent to the target.
 	sending sendState
@@ -47,7 +49,7 @@
 }
 
 // begin registers an admitted call as running, so that its target can make sub-calls.
-func (g *Gate) begin(ctx context.Context, cancel context.CancelFunc, e *targetEntry, h *apiv1.CallHeader, a admitted) *execution {
+func (g *Gate) begin(ctx context.Context, cancel context.CancelFunc, e *targetEntry, h *apiv1.CallHeader, a admitted, arrived time.Time) *execution {
 	running := &callctx.RunningCall{Origin: g.origin(ctx, h), Context: ctx}
 	g.opts.Metrics.Executions.Add(1)
 	if g.opts.LoadTracker != nil {
@@ -64,6 +66,7 @@
 		trial:       a.trial,
 		running:     running,
 		cancel:      cancel,
+		arrived:     arrived,
 		started:     g.opts.Clock.Now(),
 	}
 	e.runs.started(x)
@@ -98,9 +101,13 @@
 }
 
 // updateMeter reports the end of the call to the target's meter. A call that the target rejected while it was full is
-// not reported, and so counts as offered load in full.
+// not reported, and so counts as offered load in full. Time for which the calls of the request waited for slots is left
+// out: it ends once entries admit what the services below can do, and would make this service look overloaded as well.
 func (x *execution) updateMeter(now time.Time, kind admission.ResultKind) {
 	held := now.Sub(x.started)
+	if !x.gate.opts.CountNestedQueueing {
+		held = max(held-x.running.QueueTime(), 0)
+	}
 	switch {
 	case kind == admission.Success:
 		x.entry.meter.Finished(now, held)
@@ -109,6 +116,11 @@
 	}
 }
 
+// queuedMicroseconds returns the time for which the call and the calls that its target made for it waited for slots.
+func (x *execution) queuedMicroseconds() uint64 {
+	return microseconds(x.started.Sub(x.arrived) + x.running.QueueTime())
+}
+
 // exchange sends the request to the target and waits for the header of its response.
 func (x *execution) exchange(ctx context.Context, body *reqbody.Lease) (*http.Response, *outcome.Refusal) {
 	req, err := x.targetRequest(ctx, body)
@@ -192,6 +204,7 @@
 func (x *execution) answerHeader(resp *http.Response) *apiv1.AnswerHeader {
 	load := x.gate.load(x.entry, x.header)
 	load.Cutoff = admission.StricterCutoff(load.Cutoff, x.running.Cutoff())
+	load.QueuedUs = x.queuedMicroseconds()
 	return &apiv1.AnswerHeader{
 		Key:           x.header.GetKey(),
 		Status:        uint32(resp.StatusCode),
@@ -205,15 +218,18 @@
 // runIdempotent runs an idempotent call, and ends it when its caller is gone.
 func (g *Gate) runIdempotent(ctx context.Context, e *targetEntry, h *apiv1.CallHeader, body *reqbody.Lease) *Answer {
 	ctx, cancel := g.deadlineContext(ctx, h)
+	arrived := g.opts.Clock.Now()
 	permission, refusal := g.admitIdempotent(ctx, e, h)
 	if refusal != nil {
 		cancel()
-		return refuse(h, refusal, g.load(e, h))
+		return refuse(h, refusal, g.loadOfRefused(e, h, arrived))
 	}
-	x := g.begin(ctx, cancel, e, h, permission)
+	x := g.begin(ctx, cancel, e, h, permission, arrived)
 	resp, refusal := x.exchange(ctx, body)
 	if refusal != nil {
-		answer := refuse(h, refusal, g.load(e, h))
+		load := g.load(e, h)
+		load.QueuedUs = x.queuedMicroseconds()
+		answer := refuse(h, refusal, load)
 		x.tellSuspect(answer.Header.Refusal)
 		answer.AllowanceLeft = func() (int, bool) { return x.allowanceLeft, true }
 		return answer
@@ -278,11 +294,12 @@
 		cancelQueued()
 		return answerFromBuffer(ctx, h, call.Response)
 	}
+	arrived := g.opts.Clock.Now()
 	permission, refusal := g.admit(queueCtx, e, h)
 	if refusal != nil {
 		cancelQueued()
 		g.calls.FenceRefused(key, call)
-		return publishRefusal(call, refuse(h, refusal, g.load(e, h)))
+		return publishRefusal(call, refuse(h, refusal, g.loadOfRefused(e, h, arrived)))
 	}
 	if !g.calls.Start(call) {
 		cancelQueued()
@@ -297,7 +314,7 @@
 			cancel()
 		}
 	})
-	x := g.begin(runCtx, cancel, e, h, permission)
+	x := g.begin(runCtx, cancel, e, h, permission, arrived)
 	go func() {
 		defer stop()
 		x.runToBuffer(runCtx, call, body)
--- a/internal/gateway/direct.go
+++ b/internal/gateway/direct.go
@@ -236,9 +236,13 @@
 func (a *arrival) run(ctx context.Context) *dispatch.Result {
 	if a.origin.Depth > 0 {
 		a.o.Metrics.SubCalls.Add(1)
-		a.o.LoadTracker.CallStarted(a.start, a.parentWork(), shed.ServiceRoute{Service: a.service, Route: a.route.Name})
+		parent := a.parent()
+		a.o.LoadTracker.CallStarted(a.start, a.workOf(parent), shed.ServiceRoute{Service: a.service, Route: a.route.Name})
 		result := a.dispatch(ctx)
 		a.recordOutcome(result)
+		if parent != nil {
+			parent.AddQueueTime(result.QueueTime)
+		}
 		return result
 	}
 	a.o.Metrics.Calls.Add(1)
@@ -270,15 +274,22 @@
 	a.o.LoadTracker.CallEnded(a.o.Clock.Now(), a.service, refusal != nil)
 }
 
-// parentWork returns the service and the route of the request on whose behalf the host's target makes a call. The route
-// is empty if it can't be derived from the id of the call.
-func (a *arrival) parentWork() shed.ServiceRoute {
-	work := shed.ServiceRoute{Service: a.o.Service}
+// parent returns the running request on whose behalf the host's target makes a call; nil if it can't be derived from the
+// id of the call.
+func (a *arrival) parent() *callctx.RunningCall {
 	if a.o.HeaderNames.ParentID == nil {
-		return work
+		return nil
 	}
-	if running, ok := a.o.CallIndex.Find(a.o.HeaderNames.ParentID(a.id)); ok {
-		work.Route = running.Origin.Route
+	running, _ := a.o.CallIndex.Find(a.o.HeaderNames.ParentID(a.id))
+	return running
+}
+
+// workOf returns the service and the route of a request of the host's target. The route is empty if the request is not
+// known.
+func (a *arrival) workOf(request *callctx.RunningCall) shed.ServiceRoute {
+	work := shed.ServiceRoute{Service: a.o.Service}
+	if request != nil {
+		work.Route = request.Origin.Route
 	}
 	return work
 }
--- a/internal/gateway/direct_test.go
+++ b/internal/gateway/direct_test.go
@@ -380,3 +380,21 @@
 	response, _ := e.get("/open/")
 	require.Equal(t, http.StatusOK, response.StatusCode, "calls on behalf of admitted requests are not shed")
 }
+
+// TestWaitingOfACallCountsForItsRequest guards against a request whose service counts the time for which its calls wait
+// for slots as work of its own.
+func TestWaitingOfACallCountsForItsRequest(t *testing.T) {
+	e := newEntryUnderTest(t)
+	parent := &callctx.RunningCall{Origin: callctx.Origin{RequestID: "r-7", Route: "parent"}}
+	e.callIndex.Add(parent)
+	e.dispatcher.answer = func(context.Context, *dispatch.Request) *dispatch.Result {
+		result := dispatch.RecordedResult(200, nil, nil)
+		result.QueueTime = 30 * time.Millisecond
+		return result
+	}
+	for range 2 {
+		response, _ := e.get("/open/x", headers.RequestID+": r-7/1")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	require.Equal(t, 60*time.Millisecond, parent.QueueTime())
+}
--- a/internal/gateway/subcalls.go
+++ b/internal/gateway/subcalls.go
@@ -51,6 +51,7 @@
 	running.StartSubCall(o.Clock.Now())
 	defer func() { running.EndSubCall(o.Clock.Now()) }()
 	result := s.entry.serve(ctx, in)
+	running.AddQueueTime(result.QueueTime)
 	if result.Refusal() != nil {
 		running.SetSubCallRefused()
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -240,9 +240,12 @@
 		HeaderNames: p.env.HeaderNames,
 		LoadTracker: p.loadTracker,
 		ColdReading: p.local.ColdReading,
-		OnLeaving:   func(t *registry.Target) { p.local.MarkLeaving(p.env.Clock.Now(), t.Name, t.Started) },
-		Quarantine:  p.quarantine,
-		Targets:     p.effectiveTargetsOf,
+
+		CountNestedQueueing: !p.env.features.On(feature.NestedQueueing),
+
+		OnLeaving:  func(t *registry.Target) { p.local.MarkLeaving(p.env.Clock.Now(), t.Name, t.Started) },
+		Quarantine: p.quarantine,
+		Targets:    p.effectiveTargetsOf,
 		OnQuarantine: func() {
 			p.quarantineExchange.notify()
 		},
