End an exchange at an answer whose status is none

Callers saw: an answer that a target did not give (the body of its answer with status 000 to 099 was read as the next answer), statuses like 600 and 999, an unrequested 101, or no answer until their time limit.

Cause: the transport told interim from final responses by status >= 200 alone, and the parser of the library takes any three characters that read as a number, +20 among them. Interim responses had no bound in number, and one that announced a body could hold an answer too.

Change: a status line must have three digits from 100 to 599 other than 101; at most 100 interim responses, none with a body. Anything else ends the exchange at once and closes its connection. The caller gets 502, ran unknown; the request runs again only if its route allows it.

--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -12,6 +12,7 @@
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/calltable"
 	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/upstream"
 )
 
 // conditionalTransport is a transport that asks right before it sends a request. Requests over other transports count as sent once they
@@ -161,13 +162,23 @@
 // roundTrip sends the request, unless the target drains before the first byte is written.
 func (x *execution) roundTrip(r *http.Request) (*http.Response, error) {
 	transport := x.gate.opts.Transport
+	var response *http.Response
+	var err error
 	if conditional, ok := transport.(conditionalTransport); ok {
-		return conditional.RoundTripIf(r, x.mayBegin)
-	}
-	if !x.mayBegin() {
+		response, err = conditional.RoundTripIf(r, x.mayBegin)
+	} else if x.mayBegin() {
+		response, err = transport.RoundTrip(r)
+	} else {
 		return nil, errWithdrawn
 	}
-	return transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err = upstream.CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // withdrawnRefusal returns the refusal of a request that was withdrawn before it was sent, or nil.
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -18,6 +18,7 @@
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/quarantine"
+	"github.com/guavaford/guavaford/internal/upstream"
 )
 
 // execution is one admitted call that runs at a target.
@@ -136,11 +137,24 @@
 		return nil, refusal
 	}
 	refusal := transportRefusal(ctx, err)
-	x.suspect = x.observeBreak(ctx, err)
+	if invalid := (*upstream.InvalidAnswerError)(nil); errors.As(err, &invalid) {
+		x.observeInvalid(invalid, refusal)
+	} else {
+		x.suspect = x.observeBreak(ctx, err)
+	}
 	x.end(refusalResult(refusal))
 	return nil, refusal
 }
 
+// observeInvalid counts and logs an answer with an invalid status, and states the reason in the refusal. The target has not crashed.
+func (x *execution) observeInvalid(err *upstream.InvalidAnswerError, refusal *outcome.Refusal) {
+	x.gate.opts.Metrics.InvalidAnswers.Add(1)
+	if refusal.Code == outcome.TargetFailed {
+		refusal.Detail = "the target sent an " + err.Error()
+	}
+	x.logNotice("invalid answer of the target", "reason", err.Reason)
+}
+
 // maxRefusalBody is how many bytes of the body of a target's refusal are read, so that the connection can be reused.
 const maxRefusalBody = 64 << 10
 
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -323,12 +324,24 @@
 // RoundTripIf is like RoundTrip, but asks once it has a connection whether the request may be sent. If not, it closes that connection:
 // http.Transport writes the request in any case, which then fails before its first byte.
 func (t probingTransport) RoundTripIf(r *http.Request, mayBegin func() bool) (*http.Response, error) {
+	var last net.Conn
 	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
+		last = got.Conn
 		if !mayBegin() {
-			_ = got.Conn.Close()
+			_ = last.Close()
 		}
 	}}
-	return t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	response, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err = upstream.CheckStatus(response.StatusCode); err != nil {
+		// http.Transport keeps the connection of a status like 999 without a body for another request.
+		_ = last.Close()
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // Quarantine returns the requests that this node knows as suspects or quarantined, for operators.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -22,6 +22,8 @@
 	MovedAttempts atomic.Int64
 	// Withdrawn counts requests that left a target of this host as it drained, before they were sent to it.
 	Withdrawn atomic.Int64
+	// InvalidAnswers counts answers of targets of this host that ended their exchange by an invalid status.
+	InvalidAnswers atomic.Int64
 	// Executions counts requests that were sent to a target of this host.
 	Executions atomic.Int64
 	// Fences counts guarantees given to other nodes that a call was not started and never will be.
@@ -103,16 +105,17 @@
 func (m *Metrics) Export() Export {
 	e := Export{
 		Counters: map[string]int64{
-			"calls":          m.Calls.Load(),
-			"sub_calls":      m.SubCalls.Load(),
-			"attempts":       m.Attempts.Load(),
-			"extra_attempts": m.ExtraAttempts.Load(),
-			"moved_attempts": m.MovedAttempts.Load(),
-			"withdrawn":      m.Withdrawn.Load(),
-			"executions":     m.Executions.Load(),
-			"fences":         m.Fences.Load(),
-			"attaches":       m.Attaches.Load(),
-			"replays":        m.Replays.Load(),
+			"calls":           m.Calls.Load(),
+			"sub_calls":       m.SubCalls.Load(),
+			"attempts":        m.Attempts.Load(),
+			"extra_attempts":  m.ExtraAttempts.Load(),
+			"moved_attempts":  m.MovedAttempts.Load(),
+			"withdrawn":       m.Withdrawn.Load(),
+			"invalid_answers": m.InvalidAnswers.Load(),
+			"executions":      m.Executions.Load(),
+			"fences":          m.Fences.Load(),
+			"attaches":        m.Attaches.Load(),
+			"replays":         m.Replays.Load(),
 
 			"target_crashes":      m.TargetCrashes.Load(),
 			"quarantined":         m.Quarantined.Load(),
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -2,12 +2,14 @@
 //
 // # Concepts
 //
-// An exchange is one request and its response. Transport differs from net/http.Transport in three ways:
+// An exchange is one request and its response. Transport differs from net/http.Transport in four ways:
 //
 //   - A response is accepted only if it carries the identifier of the request that was sent. A late response
 //     to an earlier request is discarded.
 //   - A connection is not reused after bytes that follow a complete response, after a response that arrives
 //     before the whole request was sent, or after a response that ends with its connection.
+//   - A status that is none ends the exchange with an InvalidAnswerError, and its connection: anything but three digits from 100 to 599,
+//     101 (no request asks for another protocol), and interim responses that are too many or announce a body.
 //   - No request is ever sent twice: whether a failed one may be retried is for the caller to decide.
 //
 // # Data flow
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -68,7 +68,10 @@
 
 // read reads the head of the next response and skips interim responses (1xx).
 func (x *exchange) read() (*http.Response, error) {
-	for {
+	for range maxInterim + 1 {
+		if err := x.conn.checkStatusLine(); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(x.conn.reader, x.request)
 		if err != nil {
 			if err == io.EOF {
@@ -76,10 +79,14 @@
 			}
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
+		if err := checkInterim(response); err != nil {
+			return nil, err
+		}
 	}
+	return nil, invalidAnswer("more than %d interim responses", maxInterim)
 }
 
 // matches reports whether a response belongs to the request. On a new connection an error response need not carry the
