Refuse documents in which a name occurs twice

Two rows of tenants were merged.

Cause: resources go into a map by kind and name before anything is checked, and the JSON decoder keeps the last of several values of a field.

What was accepted before stays valid.

--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -256,7 +256,13 @@
 	case change.AnyRevision == (change.ExpectedRevision != nil):
 		return nil, newProblem(CodeRequestInvalid, "exactly one of expectedRevision and anyRevision is required")
 	}
+	if duplicate := config.FindDuplicateField(data, "labels"); duplicate != nil {
+		return nil, newProblem(CodeRequestInvalid, "%s", duplicate)
+	}
 	message := change.toMessage()
+	if problem := duplicateNames(message); problem != nil {
+		return nil, problem
+	}
 	var faults config.Problems
 	for _, resource := range message.GetUpserts() {
 		faults = append(faults, config.Canonicalise(resource)...)
@@ -267,6 +273,30 @@
 	return message, nil
 }
 
+// duplicateNames returns the problem of a change in which a document or key occurs twice, or nil. Places are counted
+// from 0.
+func duplicateNames(m *apiv1.Change) *Problem {
+	if duplicates := config.Duplicates(m.GetUpserts()); len(duplicates) > 0 {
+		return newProblem(CodeRequestInvalid, "%s", duplicates.Err())
+	}
+	deletes := make(map[string]int, len(m.GetDeletes()))
+	for i, del := range m.GetDeletes() {
+		name := del.GetKind() + "/" + del.GetName()
+		if j, found := deletes[name]; found {
+			return newProblem(CodeRequestInvalid, "deletes %d and %d both name %s", j, i, name)
+		}
+		deletes[name] = i
+	}
+	keys := make(map[string]int, len(m.GetIssueKeys()))
+	for i, key := range m.GetIssueKeys() {
+		if j, found := keys[string(key.GetHash())]; found {
+			return newProblem(CodeRequestInvalid, "issued keys %d and %d are the same", j, i)
+		}
+		keys[string(key.GetHash())] = i
+	}
+	return nil
+}
+
 // invalidConfiguration returns the problem of a change that would make the configuration invalid.
 func invalidConfiguration(faults []string) *Problem {
 	problem := newProblem(CodeConfigurationInvalid, "the configuration would not be valid; nothing was changed")
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -101,6 +101,28 @@
 	require.Equal(t, CodeMethodNotAllowed, problemOf(t, send(&scriptedControl{}, "Bearer "+testToken, http.MethodPut, pathChanges, "")).Code)
 }
 
+// TestChangeWithANameTwiceIsRefused guards against a change of which one part is dropped without notice. It must get 400 with
+// both places, before anything is proposed.
+func TestChangeWithANameTwiceIsRefused(t *testing.T) {
+	for body, want := range map[string]string{
+		`"upserts":[{"kind":"Class","name":"c","spec":{"priority":1}},{"kind":"Class","name":"c","spec":{"priority":2}}]`: "Class/c: name: occurs twice, as documents 0 and 1 of the change",
+		`"upserts":[{"kind":"Class","name":"c","spec":{"priority":1,"priority":2}}]`:                                      "upserts[0].spec.priority occurs twice, at bytes ",
+		`"upserts":[{"kind":"Class","name":"c","labels":{"a":"1","a":"2"},"spec":{"priority":1}}]`:                        "upserts[0].labels.a occurs twice, at bytes ",
+		`"upserts":[],"upserts":[{"kind":"Class","name":"c","spec":{"priority":1}}]`:                                      "upserts occurs twice, at bytes ",
+		`"deletes":[{"kind":"Class","name":"c"},{"kind":"Rate","name":"c"},{"kind":"Class","name":"c"}]`:                  "deletes 0 and 2 both name Class/c",
+		`"issueKeys":[{"organisation":"a","hash":"aGFzaA=="},{"organisation":"b","hash":"aGFzaA=="}]`:                     "issued keys 0 and 1 are the same",
+	} {
+		control := &scriptedControl{}
+		w := send(control, "Bearer "+testToken, http.MethodPost, pathChanges, `{"id":"a","anyRevision":true,`+body+`}`)
+		p := problemOf(t, w)
+		require.Equal(t, http.StatusBadRequest, w.Code, body)
+		require.Equal(t, CodeRequestInvalid, p.Code, body)
+		require.Contains(t, p.Detail, want)
+		require.Equal(t, AppliedNo, p.Applied)
+		require.Zero(t, control.calls)
+	}
+}
+
 // TestOutcomesOfChanges guards against outcomes that are reported with the wrong code, or as not applied
 // when that is not known.
 func TestOutcomesOfChanges(t *testing.T) {
--- a/internal/store/change.go
+++ b/internal/store/change.go
@@ -48,9 +48,10 @@
 
 // problems validates the change against the current state and returns the problems found. The caller holds mu.
 func (s *Store) problems(change *apiv1.Change) []string {
-	var problems []string
+	problems := duplicateProblems(change)
 	if change.Document != nil {
-		return append(s.documentProblems(change), s.check(sortedResources(resourcesByID(change.Upserts)))...)
+		problems = append(problems, s.documentProblems(change)...)
+		return append(problems, s.check(sortedResources(resourcesByID(change.Upserts)))...)
 	}
 	if len(change.Upserts)+len(change.Deletes)+len(change.IssueKeys)+len(change.WithdrawKeys) == 0 {
 		problems = append(problems, "the change is empty")
@@ -64,6 +65,31 @@
 	return s.check(sortedResources(after))
 }
 
+// duplicateProblems returns a problem for each resource that a change sets or deletes twice: only one of the two would
+// take effect.
+func duplicateProblems(change *apiv1.Change) []string {
+	var problems []string
+	upserts := make(map[resourceID]int, len(change.Upserts))
+	for i, resource := range change.Upserts {
+		id := resourceID{resource.Kind, resource.Name}
+		if j, found := upserts[id]; found {
+			problems = append(problems, fmt.Sprintf("%s %q occurs twice, as resources %d and %d of the change", id.kind, id.name, j, i))
+			continue
+		}
+		upserts[id] = i
+	}
+	deletes := make(map[resourceID]int, len(change.Deletes))
+	for i, del := range change.Deletes {
+		id := resourceID{del.Kind, del.Name}
+		if j, found := deletes[id]; found {
+			problems = append(problems, fmt.Sprintf("%s %q is deleted twice, in places %d and %d", id.kind, id.name, j, i))
+			continue
+		}
+		deletes[id] = i
+	}
+	return problems
+}
+
 // preview returns the resources as they would be after the change.
 func (s *Store) preview(change *apiv1.Change) (map[resourceID]*apiv1.Resource, []string) {
 	after := make(map[resourceID]*apiv1.Resource, len(s.resources)+len(change.Upserts))
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -179,3 +179,22 @@
 	apply(t, s, &apiv1.StoreCommand{Setup: &apiv1.ClusterSetup{RateShards: 5, RunShards: 5}})
 	require.Len(t, s.PublishedState().Load().Owners, 2, "a second setup must not change the numbers of shards")
 }
+
+// Guards against a change that sets or deletes a resource twice, of which one would be dropped, whoever proposes it.
+func TestChangeThatNamesAResourceTwiceIsRefused(t *testing.T) {
+	s := New(func([]*apiv1.Resource) []string { return nil })
+	require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_ACCEPTED, submit(t, s, upsert("a", "one")).Result)
+	deletes := &apiv1.Change{Id: "c", AnyRevision: true, Deletes: []*apiv1.ResourceRef{{Kind: organisationKind, Name: "one"}, {Kind: organisationKind, Name: "one"}}}
+	whole := upsert("d", "two", "two")
+	whole.Document = &apiv1.Document{Version: 1}
+	for change, want := range map[*apiv1.Change]string{
+		upsert("b", "two", "three", "two"): `Organisation "two" occurs twice, as resources 0 and 2 of the change`,
+		deletes:                            `Organisation "one" is deleted twice, in places 0 and 1`,
+		whole:                              `Organisation "two" occurs twice, as resources 0 and 1 of the change`,
+	} {
+		outcome := submit(t, s, change)
+		require.Equal(t, apiv1.ChangeResult_CHANGE_RESULT_INVALID, outcome.Result, change.Id)
+		require.Contains(t, outcome.Problems, want)
+	}
+	require.Len(t, s.ConfigSnapshot().Resources, 1)
+}
