Log why a replica does not store a departure, and how long a confirmation takes

Cause: not traced.

Change: the line "departure not stored" names all reasons and the time, "departures stored" the time. The reason of a sole voter is named so. No test: log lines only.

--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -52,14 +52,17 @@
 	if _, current := r.relay.MergeDepartures(now, request); !current {
 		return nil, ErrLaterProcess
 	}
-	if err := r.confirmVoting(ctx); err != nil {
+	err := r.confirmVoting(ctx)
+	if err == nil && len(request.Departed) > 0 {
+		err = r.departures.Add(ctx, now, request.Departed)
+	}
+	if err != nil {
+		if len(request.Departed) > 0 {
+			r.o.Log.Warn("departure not stored", "node", request.Node, "target", request.Departed[0].GetName(), "took", r.o.Clock.Now().Sub(now), "err", err)
+		}
 		return nil, err
 	}
 	if len(request.Departed) > 0 {
-		if err := r.departures.Add(ctx, now, request.Departed); err != nil {
-			r.o.Log.Warn("departure not stored", "node", request.Node, "target", request.Departed[0].GetName(), "err", err)
-			return nil, err
-		}
 		return &apiv1.DepartureResponse{}, nil
 	}
 	if !r.departuresComplete() {
@@ -168,7 +171,9 @@
 	case founding:
 		// Nothing has been confirmed yet. The nodes of a new cluster don't wait until all its voters have fetched nothing from each other.
 		reason = "the cluster is being founded"
-	case 2*complete > len(others) || len(others) == 0:
+	case len(others) == 0:
+		reason = "the only voter"
+	case 2*complete > len(others):
 		reason = "fetched from a majority"
 	case age > departure.Retention:
 		reason = "older records have expired"
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -48,9 +48,10 @@
 	if len(records) == 0 {
 		return nil
 	}
+	began := d.process.env.Clock.Now()
 	_, answered, voters := d.call(ctx, records)
 	d.process.env.Log.Info("departures stored", "departures", len(records), "target", records[0].GetName(), "version", records[0].GetVersion(),
-		"replicas", answered, "voters", voters)
+		"replicas", answered, "voters", voters, "took", d.process.env.Clock.Now().Sub(began))
 	if !majority(answered, voters) {
 		return ErrNotStored
 	}
