Learn how much each target handles well, and divide calls by it

Behind the direct entry the gate beside a target learns how long requests of each route take there and above how many concurrent requests the target slows down. It tells callers in the load report of its answers. Callers draw targets by their free capacity, and a call leaves the queue of a target that has just become slow while others have room.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -6,6 +6,7 @@
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/servicerate"
 )
 
 const (
@@ -47,6 +48,8 @@
 	Verdict ArrivalDecision
 	// Refusal is set when the verdict is Refused.
 	Refusal *outcome.Refusal
+	// Ticket is to be returned with the Result when the verdict is Started.
+	Ticket servicerate.Ticket
 }
 
 // QueuedDecision is the final decision on a request that was queued: Started or Refused.
@@ -69,18 +72,32 @@
 	draining  bool
 	// rate bounds the requests that start, as the target asks in its responses.
 	rate rateLimit
+	// learned is nil unless the limit is learned.
+	learned *servicerate.Estimator
 	// decisions on queued requests that TakeDecisions has not returned yet.
 	decisions []QueuedDecision
 }
 
 // NewStateMachine returns the state machine for the target that c describes.
 func NewStateMachine(c Config) *StateMachine {
-	return &StateMachine{config: c, limiter: newLimiter(), shedder: newShedder()}
+	m := &StateMachine{limiter: newLimiter(), shedder: newShedder()}
+	m.setConfig(c)
+	return m
+}
+
+func (c *StateMachine) setConfig(config Config) {
+	c.config = config
+	switch {
+	case !config.LearnLimit:
+		c.learned = nil
+	case c.learned == nil:
+		c.learned = servicerate.New()
+	}
 }
 
 // Configure replaces the description of the target.
 func (c *StateMachine) Configure(now time.Time, config Config) {
-	c.config = config
+	c.setConfig(config)
 	c.dispatch(now)
 }
 
@@ -115,10 +132,15 @@
 	return c.inFlight < c.slotLimit(now) && c.rate.untilNext(now) == 0
 }
 
-// start counts a request that starts now.
-func (c *StateMachine) start() {
+// start counts a request that starts now, and returns the decision on it.
+func (c *StateMachine) start(now time.Time) Decision {
 	c.inFlight++
 	c.rate.take()
+	d := Decision{Verdict: Started}
+	if c.learned != nil {
+		d.Ticket = c.learned.Started(now, c.inFlight, c.slots())
+	}
+	return d
 }
 
 // Arrive decides on a new request. The final decision on a queued one is returned by TakeDecisions later.
@@ -137,8 +159,7 @@
 		return refuse(outcome.DeadlineTooShort, 0, "less time is left than the service takes")
 	}
 	if c.queue.length == 0 && c.mayStart(now) {
-		c.start()
-		return Decision{Verdict: Started}
+		return c.start(now)
 	}
 	return c.enqueue(now, w)
 }
@@ -220,6 +241,9 @@
 	case Success:
 		c.serviceTime.add(now, slotTime)
 		c.updateQuickTime(slotTime)
+		if c.learned != nil {
+			c.learned.Finished(now, res.Ticket, res.Route, max(slotTime-res.Downstream, 0))
+		}
 	case TimedOut, Cancelled:
 		c.serviceTime.addLowerBound(now, slotTime)
 	case Rejected:
@@ -273,6 +297,16 @@
 	}
 }
 
+// LoadForRoute returns the state that is reported to callers of an organisation that made a request of a route.
+func (c *StateMachine) LoadForRoute(now time.Time, organisation, route string) Load {
+	l := c.Load(now, organisation)
+	if c.learned != nil {
+		l.ExpectedTime, l.Slowdown = c.learned.ExpectedTime(now, route), c.learned.Slowdown(now)
+		l.LearnedLimit = c.fixedLimit(now)
+	}
+	return l
+}
+
 // cutoff returns the cutoff that answers to an organisation carry; nil without shedding.
 func (c *StateMachine) cutoff(organisation string) *apiv1.Cutoff {
 	if c.config.NoShedding {
@@ -304,8 +338,7 @@
 			c.recordDecision(w, refuse(outcome.DeadlineTooShort, c.retryAfter(now), "queued until less time is left than the service takes"))
 			continue
 		}
-		c.start()
-		c.recordDecision(w, Decision{Verdict: Started})
+		c.recordDecision(w, c.start(now))
 	}
 }
 
@@ -339,11 +372,11 @@
 
 // slotLimit returns how many requests may run now. It rises linearly during the cold start.
 func (c *StateMachine) slotLimit(now time.Time) int {
-	limit := c.slots()
+	limit := 0
 	if c.config.FixedLimit {
-		limit = max(int(fixedLimitShare*float64(limit)), 1)
+		limit = c.fixedLimit(now)
 	} else {
-		limit = c.limiter.limit(limit)
+		limit = c.limiter.limit(c.slots())
 	}
 	age := now.Sub(c.config.Started)
 	if c.config.ColdStart <= 0 || age >= c.config.ColdStart {
@@ -354,6 +387,15 @@
 	return max(int(math.Ceil(share*float64(limit))), 1)
 }
 
+// fixedLimit returns a fixed share of the slots, or less if the target was learned to handle fewer requests well.
+func (c *StateMachine) fixedLimit(now time.Time) int {
+	limit := max(int(fixedLimitShare*float64(c.slots())), 1)
+	if c.learned != nil {
+		limit = c.learned.Limit(now, limit, c.slots())
+	}
+	return limit
+}
+
 // slots returns the highest limit.
 func (c *StateMachine) slots() int {
 	if c.config.Slots <= 0 {
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -7,6 +7,7 @@
 
 	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/outcome"
+	"github.com/guavaford/guavaford/internal/servicerate"
 )
 
 // Controller admits requests to one target. It is safe for concurrent use.
@@ -35,6 +36,7 @@
 type Permit struct {
 	gate    *Controller
 	started time.Time
+	ticket  servicerate.Ticket
 }
 
 // Acquire waits until the request may run. A refusal means that it was not started. When ctx
@@ -97,7 +99,7 @@
 	if d.Refusal != nil {
 		return Permit{}, d.Refusal
 	}
-	return Permit{gate: g, started: now}, nil
+	return Permit{gate: g, started: now, ticket: d.Ticket}, nil
 }
 
 // deliver sends the decisions on queued requests to the goroutines that wait, and starts a timer if others wait for the rate limit.
@@ -137,6 +139,7 @@
 	now := p.gate.clock.Now()
 	p.gate.mu.Lock()
 	defer p.gate.mu.Unlock()
+	res.Ticket = p.ticket
 	p.gate.core.Finish(now, p.started, res)
 	p.gate.deliver()
 }
@@ -163,10 +166,15 @@
 
 // LoadFor returns the current state with the cutoff of an organisation.
 func (g *Controller) LoadFor(organisation string) Load {
+	return g.LoadForRoute(organisation, "")
+}
+
+// LoadForRoute returns the current state with the cutoff of an organisation and the expected time of a route.
+func (g *Controller) LoadForRoute(organisation, route string) Load {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.core.Load(now, organisation)
+	return g.core.LoadForRoute(now, organisation, route)
 }
 
 // cancelled returns the refusal of a request whose ctx was cancelled or reached its deadline.
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/servicerate"
 )
 
 // Request holds the attributes of a request that decide on its admission.
@@ -37,6 +38,9 @@
 	Started   time.Time
 	// FixedLimit derives the limit from the announced slots alone instead of adapting it.
 	FixedLimit bool
+	// LearnLimit lowers a fixed limit to what the target handles well, as learned from the requests that it serves, and
+	// adds to load reports how long requests take there.
+	LearnLimit bool
 	// NoShedding turns cutoffs off. Requests are then shed early only by the nodes at which they enter the fleet.
 	NoShedding bool
 }
@@ -60,6 +64,10 @@
 	// Downstream is the time during which the target waited for sub-calls. It is left out of
 	// the limiter's samples, as it says nothing about the load of this target.
 	Downstream time.Duration
+	// Route is the route of the request.
+	Route string
+	// Ticket is that of the decision that started the request; Permit.Release sets it.
+	Ticket servicerate.Ticket
 }
 
 // Load is the state of a controller that is reported to callers.
@@ -71,6 +79,12 @@
 	Draining bool
 	// RateLimit is the number of requests that may start in a second; 0 for no limit.
 	RateLimit float64
+	// ExpectedTime is how long a request of the route of the answered request holds a slot; 0 if that isn't learned.
+	ExpectedTime time.Duration
+	// LearnedLimit is the number of concurrent requests that the target handles well; 0 if that isn't learned.
+	LearnedLimit int
+	// Slowdown is how many times their usual time requests take now; 0 if that isn't learned.
+	Slowdown float64
 }
 
 // Message returns the load as a message between nodes.
@@ -83,6 +97,8 @@
 		LatencyNs: int64(l.Latency),
 		Draining:  l.Draining,
 		RateLimit: l.RateLimit,
+
+		ExpectedTimeNs: int64(l.ExpectedTime),
 	}
 }
 
--- a/internal/dispatch/bounded.go
+++ b/internal/dispatch/bounded.go
@@ -33,6 +33,11 @@
 	reached := 0
 	for {
 		choice, refusal := c.pick()
+		if refusal != nil && c.moved > 0 && len(c.tried) == 1 {
+			// The call was moved away from the only target that is left. It may queue there now.
+			c.tried = nil
+			continue
+		}
 		if refusal != nil {
 			return c.noTargetResult(refusal, firstNonNil(ran, last))
 		}
@@ -50,7 +55,7 @@
 			c.repeat = max(c.repeat, apiv1.Repeat_REPEAT_REACHED)
 			reached++
 		}
-		if c.redirect(refusal) && ctx.Err() == nil {
+		if (c.redirect(refusal) || c.move(refusal)) && ctx.Err() == nil {
 			continue
 		}
 		if !c.mayTryNext(ctx, refusal, reached) {
@@ -87,12 +92,42 @@
 	case outcome.DeadlineTooShort:
 		// The queue of this target is too long, but that of another may be shorter. One more target is tried while over
 		// half of the longest wait is left.
-		return !r.Reached && c.attempts < 2 && c.queueWaitLeft() > c.request.MaxWait/2
+		return !r.Reached && c.attempts-c.moved < 2 && c.queueWaitLeft() > c.request.MaxWait/2
 	default:
 		return false
 	}
 }
 
+// boundQueueWait shortens the wait of a first attempt in the queue of its target if other targets have room. The call
+// must be able to go there afterwards, with most of its time left: a body that isn't all in memory may have been sent in
+// part by then.
+func (c *call) boundQueueWait(h *apiv1.CallHeader, choice route.Choice) {
+	wait := choice.QueueWait()
+	c.mayMove = wait > 0 && c.request.MaxTargets > 0 && c.attempts == 0 && c.trialTarget == "" && c.request.Body.complete &&
+		time.Duration(h.MaxWaitNs) >= minWaitAfterMove*wait && time.Duration(h.TimeoutNs) >= minWaitAfterMove*wait+minAttemptTime
+	if c.mayMove {
+		h.MaxWaitNs, h.MayMove = int64(wait), true
+	}
+}
+
+// minWaitAfterMove is the multiple of the shortened wait that a call must be allowed to wait altogether.
+const minWaitAfterMove = 4
+
+// move reports whether a call that was refused after a shortened wait goes to another target. It was not run, and the
+// refusal says only that the queue was long, so it doesn't count as an attempt.
+func (c *call) move(r *outcome.Refusal) bool {
+	if !c.mayMove || r == nil || r.Ran != outcome.RanNo || r.Reached {
+		return false
+	}
+	c.mayMove = false
+	if r.Code != outcome.QueueFull && r.Code != outcome.DeadlineTooShort {
+		return false
+	}
+	c.moved++
+	c.dispatcher.o.Metrics.MovedCalls.Add(1)
+	return true
+}
+
 // hasSubCalls reports whether another run of the request would repeat sub-calls. Gates refuse such repeats.
 func (c *call) hasSubCalls() bool {
 	p := c.dispatcher.o.LoadTracker
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -36,6 +36,9 @@
 	trialTarget string
 	// redirects counts the times that a gate named a trialTarget.
 	redirects int
+	// mayMove is true while the attempt under way has a shortened wait; moved counts the moves after such attempts.
+	mayMove bool
+	moved   int
 }
 
 // run makes attempts, bounded by allowance, budget and deadline, until one gives the final answer.
@@ -122,7 +125,7 @@
 // finalResult returns an answer as the result. It marks a refusal after several attempts, so that hops above don't
 // retry it.
 func (c *call) finalResult(answer *gate.Answer, refusal *outcome.Refusal) *Result {
-	if refusal != nil && c.attempts > 1 {
+	if refusal != nil && c.attempts-c.moved > 1 {
 		answer.Header.Refusal.Retried = true
 	}
 	return &Result{Answer: answer, Attempts: c.attempts}
@@ -159,6 +162,7 @@
 	target := choice.Target()
 	header := c.header(target)
 	header.KnownRateLimit = choice.RateLimit()
+	c.boundQueueWait(header, choice)
 	c.attempts++
 	c.tried = append(c.tried, target.ID())
 	d.o.Metrics.Attempts.Add(1)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -22,6 +22,7 @@
 	"github.com/guavaford/guavaford/internal/peer"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/retry"
+	"github.com/guavaford/guavaford/internal/route"
 	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
@@ -88,30 +89,36 @@
 	return sendWith(t, s, func(r *Request) { r.Idempotent = idempotent })
 }
 
+// newDispatcher returns a dispatcher that knows three targets of service s and picks among them by the given settings.
+func newDispatcher(t *testing.T, s *fakeSender, picks *route.Config) *Dispatcher {
+	view := &registry.View{Services: map[string][]*registry.Target{}}
+	for _, name := range []string{"a", "b", "c"} {
+		view.Services["s"] = append(view.Services["s"], &registry.Target{
+			Name: name, Service: "s", Node: "node-" + name, NodeAddress: name, Slots: 4, Incarnation: targetIncarnation,
+			State: apiv1.TargetState_TARGET_STATE_READY,
+		})
+	}
+	b, err := board.New(blackboard.NewSection(view))
+	require.NoError(t, err)
+	return New(Options{
+		Identity:   peer.Identity{Node: "entry", Incarnation: 1},
+		Sender:     s,
+		Directory:  anyService{},
+		Board:      b,
+		Clock:      clock.System{},
+		Metrics:    telemetry.NewMetrics(),
+		Log:        telemetry.Discard(),
+		LogLimiter: telemetry.NewLogLimiter(100),
+		Route:      picks,
+	})
+}
+
 // sendWith is like send for a request that change has modified.
 func sendWith(t *testing.T, s *fakeSender, change func(r *Request)) (*Result, time.Duration) {
 	var result *Result
 	var took time.Duration
 	synctest.Test(t, func(t *testing.T) {
-		view := &registry.View{Services: map[string][]*registry.Target{}}
-		for _, name := range []string{"a", "b", "c"} {
-			view.Services["s"] = append(view.Services["s"], &registry.Target{
-				Name: name, Service: "s", Node: "node-" + name, NodeAddress: name, Slots: 4, Incarnation: targetIncarnation,
-				State: apiv1.TargetState_TARGET_STATE_READY,
-			})
-		}
-		b, err := board.New(blackboard.NewSection(view))
-		require.NoError(t, err)
-		d := New(Options{
-			Identity:   peer.Identity{Node: "entry", Incarnation: 1},
-			Sender:     s,
-			Directory:  anyService{},
-			Board:      b,
-			Clock:      clock.System{},
-			Metrics:    telemetry.NewMetrics(),
-			Log:        telemetry.Discard(),
-			LogLimiter: telemetry.NewLogLimiter(100),
-		})
+		d := newDispatcher(t, s, nil)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		s.leave = cancel
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -27,6 +27,8 @@
 	ScanAllTargets Name = "look-around"
 	// SlowTargets avoids targets that are much slower than others.
 	SlowTargets Name = "slow-targets"
+	// LearnedCapacity divides calls among targets by what each is learned to handle well.
+	LearnedCapacity Name = "learned-capacity"
 	// SpillWhenFull sends calls from a full data centre to another with a shorter queue.
 	SpillWhenFull Name = "full-spill"
 	// Ejection avoids targets that fail repeatedly.
@@ -49,6 +51,7 @@
 	{LoadExchange, "exchange load readings between nodes with targets of the same service"},
 	{ScanAllTargets, "consider all targets of the data centre before a call leaves it"},
 	{SlowTargets, "avoid slow targets"},
+	{LearnedCapacity, "divide calls among targets by what each is learned to handle well"},
 	{SpillWhenFull, "send calls from a full data centre to another with a shorter queue"},
 	{Ejection, "avoid targets that fail repeatedly"},
 	{SlowStart, "raise the load of new targets gradually"},
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -177,7 +177,7 @@
 // load returns the target's load for the sender of a call, with the load of the services below it when a report is due.
 func (g *Gate) load(e *targetEntry, h *apiv1.CallHeader) *apiv1.LoadReport {
 	now := g.opts.Clock.Now()
-	load := e.admission.LoadFor(h.GetOrganisation())
+	load := e.admission.LoadForRoute(h.GetOrganisation(), h.GetRoute())
 	m := load.Message()
 	m.Leaving = e.notices.isLeaving()
 	if g.opts.LoadTracker == nil || !e.reportDue(now, reportRecipient{h.GetKey().GetNode(), h.GetRoute()}) {
@@ -359,6 +359,10 @@
 		MaxWait:      time.Duration(h.GetMaxWaitNs()),
 	})
 	if refusal != nil {
+		if h.GetMayMove() && (refusal.Code == outcome.QueueFull || refusal.Code == outcome.DeadlineTooShort) {
+			now := g.opts.Clock.Now()
+			e.meter.Moved(now, now.Sub(start))
+		}
 		return admission.Permit{}, refusal
 	}
 	g.opts.Metrics.QueueWait.Record(seriesOf(h), g.opts.Clock.Now().Sub(start))
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -90,6 +90,7 @@
 		x.permit.Release(admission.Result{
 			Kind:       kind,
 			Downstream: x.running.SubCallTime(now),
+			Route:      x.header.GetRoute(),
 		})
 	})
 }
--- a/internal/lab/hotpath_test.go
+++ b/internal/lab/hotpath_test.go
@@ -30,14 +30,15 @@
 
 const hotTargets = 4
 
-func newHotPath() *hotPath {
-	now := time.Now()
+func newHotPath(learned bool) *hotPath {
+	now, config := time.Now(), route.DefaultConfig()
+	config.LearnedCapacity = learned
 	h := &hotPath{
 		lessee: rate.NewLessee(rate.Config{}, rate.Identity{Node: "n"}, 1, clock.System{}),
-		picker: route.NewPicker(route.DefaultConfig(), "kl", clock.System{}, 1),
+		picker: route.NewPicker(config, "kl", clock.System{}, 1),
 		gates:  map[string]*admission.Controller{},
 		clock:  clock.System{},
-		load:   &apiv1.LoadReport{InFlight: 1, Limit: 230, Cutoff: &apiv1.Cutoff{Service: "jadual", Common: 1 << 28, Own: 1 << 28}},
+		load:   &apiv1.LoadReport{InFlight: 1, Limit: 230, Cutoff: &apiv1.Cutoff{Service: "jadual", Common: 1 << 28, Own: 1 << 28}, ExpectedTimeNs: 1e6},
 	}
 	out := rate.PendingRequest{SentAt: now, Request: &apiv1.LeaseRequest{Sequence: 1, Demands: []*apiv1.TokenDemand{{Organisation: "o"}}}}
 	h.lessee.ApplyResponse(now, out, &apiv1.LeaseResponse{Sequence: 1, Grants: []*apiv1.TokenGrant{{
@@ -47,7 +48,7 @@
 	for i := range hotTargets {
 		t := &registry.Target{Name: "jadual", Node: fmt.Sprint(i), DataCentre: "kl", Slots: 230, State: apiv1.TargetState_TARGET_STATE_READY}
 		targets = append(targets, t)
-		h.gates[t.Node] = admission.NewController(admission.Config{Service: "jadual", Slots: t.Slots}, clock.System{})
+		h.gates[t.Node] = admission.NewController(admission.Config{Service: "jadual", Slots: t.Slots, FixedLimit: learned, LearnLimit: learned}, clock.System{})
 	}
 	h.picker.Update(targets)
 	return h
@@ -67,21 +68,29 @@
 	if refusal != nil {
 		return false
 	}
-	permit.Release(admission.Result{Kind: admission.Success})
+	permit.Release(admission.Result{Kind: admission.Success, Route: "r"})
 	choice.Done(route.Observation{Outcome: route.Success, Latency: time.Millisecond, Load: h.load})
 	return true
 }
 
 // TestHotPathDoesNotAllocate guards against heap allocations in the decisions that every request needs.
 func TestHotPathDoesNotAllocate(t *testing.T) {
-	h := newHotPath()
-	require.True(t, h.request(t.Context()))
-	require.Zero(t, testing.AllocsPerRun(2000, func() { h.request(t.Context()) }))
+	for _, learned := range []bool{false, true} {
+		h := newHotPath(learned)
+		for range 100 {
+			require.True(t, h.request(t.Context()))
+		}
+		require.Zero(t, testing.AllocsPerRun(2000, func() { h.request(t.Context()) }))
+	}
 }
 
 // BenchmarkHotPath measures the decisions of one request with 8 goroutines.
-func BenchmarkHotPath(b *testing.B) {
-	h := newHotPath()
+func BenchmarkHotPath(b *testing.B) { benchmarkHotPath(b, newHotPath(false)) }
+
+// BenchmarkHotPathLearned measures them with learned capacity.
+func BenchmarkHotPathLearned(b *testing.B) { benchmarkHotPath(b, newHotPath(true)) }
+
+func benchmarkHotPath(b *testing.B, h *hotPath) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(8))
 	var refused atomic.Int64
 	b.ReportAllocs()
--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -36,6 +36,11 @@
 // it with targets that take twelve times as long, while service times vary by 30%.
 const directSlowRatio = 2.5
 
+// learnedSlowRatio replaces directSlowRatio while calls are divided by learned capacity. Targets of one service differ
+// by up to 3.2 in speed, and a target that stalls gets a smaller share, so only one that is slower than both can explain
+// gets no calls.
+const learnedSlowRatio = 5
+
 // routeConfig returns the settings by which targets are picked; nil stands for the defaults.
 func (p *Process) routeConfig() *route.Config {
 	if p.env.settings.DirectAddress == "" {
@@ -47,6 +52,9 @@
 	config.FullSpillRatio = directFullSpillRatio
 	config.SlowRatio = directSlowRatio
 	config.ScanAllTargets = p.env.features.On(feature.ScanAllTargets)
+	if config.LearnedCapacity = p.env.features.On(feature.LearnedCapacity); config.LearnedCapacity {
+		config.SlowRatio = learnedSlowRatio
+	}
 	for name, off := range map[feature.Name]func(){
 		feature.SlowStart:     func() { config.SlowStart = 0 },
 		feature.SpillWhenFull: func() { config.FullSpillRatio = 0 },
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -220,8 +220,9 @@
 		p.quarantineExchange = newQuarantineExchange(p)
 	}
 	p.gate = gate.New(gate.Options{
-		KeyChecker:  p.keyChecker,
-		Policies:    policy.AdmissionResolver{Configuration: p.board.Configuration, EntryShedding: p.loadTracker != nil},
+		KeyChecker: p.keyChecker,
+		Policies: policy.AdmissionResolver{Configuration: p.board.Configuration, EntryShedding: p.loadTracker != nil,
+			LearnLimit: p.env.features.On(feature.LearnedCapacity)},
 		Handles:     handles,
 		CallIndex:   p.callIndex,
 		Clock:       p.env.Clock,
@@ -367,6 +368,9 @@
 	}
 	if p.direct != nil {
 		p.goRun("loads", func() error { p.logLoads(ctx); return nil })
+		if p.env.features.On(feature.LearnedCapacity) {
+			p.goRun("capacities", func() error { p.logCapacities(ctx); return nil })
+		}
 		if p.env.features.On(feature.LoadExchange) {
 			p.goRun("load exchange", func() error { p.exchangeLoads(ctx); return nil })
 		}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -60,6 +60,8 @@
 	m.SetGauge("admission_limit", func() float64 { return p.sumTargets(func(t operator.LocalTarget) int { return t.Limit }) })
 	m.SetGauge("leased_tokens", p.leasedTokens)
 	m.SetGauge("queued", func() float64 { return p.sumTargets(func(t operator.LocalTarget) int { return t.Queued }) })
+	m.SetGauge("learned_limit", p.learnedLimit)
+	m.SetGauge("target_slowdown", p.maxSlowdown)
 	p.setControlGauges()
 	m.SetTraffic(p.Traffic)
 	m.Publish()
--- a/internal/peer/headercompression.go
+++ b/internal/peer/headercompression.go
@@ -63,7 +63,7 @@
 		Allowance: h.Allowance, Level: h.Level, KeyNumber: h.KeyNumber, Idempotent: h.Idempotent, Method: h.Method,
 		Path: h.Path, ContentLength: h.ContentLength, Attempt: h.Attempt, Route: h.Route, Host: h.Host,
 		CallerService: h.CallerService, MaxWaitNs: h.MaxWaitNs, Repeat: h.Repeat, KnownRateLimit: h.KnownRateLimit,
-		BodyDigest: h.BodyDigest, Suspect: h.Suspect,
+		BodyDigest: h.BodyDigest, Suspect: h.Suspect, MayMove: h.MayMove,
 	}
 	if h.Key.GetNode() == self.Node && h.Key.GetIncarnation() == self.Incarnation {
 		out.Key = &apiv1.CallKey{Number: h.Key.GetNumber()}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -36,6 +36,8 @@
 	// EntryShedding is true if entries refuse new requests by the load of downstream services. Gates then use
 	// the announced slots as a fixed limit and do not shed requests themselves.
 	EntryShedding bool
+	// LearnLimit lowers that fixed limit to what a target handles well.
+	LearnLimit bool
 }
 
 // Admission returns the admission settings of a target.
@@ -48,6 +50,7 @@
 		Started:    t.Started,
 		FixedLimit: a.EntryShedding,
 		NoShedding: a.EntryShedding,
+		LearnLimit: a.EntryShedding && a.LearnLimit,
 	}
 }
 
--- a/internal/route/pace.go
+++ b/internal/route/pace.go
@@ -40,6 +40,10 @@
 	// in flight.
 	inFlight       atomic.Int64
 	lastProgressNs atomic.Int64
+	// expectedNs is the time for which calls hold a slot, as the gate beside the target last reported, and expectedAt
+	// is when it did.
+	expectedNs atomic.Int64
+	expectedAt atomic.Int64
 }
 
 // begin records that a call starts.
@@ -49,10 +53,14 @@
 	}
 }
 
-// end records that a call has ended.
-func (l *routeLatency) end(now int64) {
+// end records that a call has ended, and the time that the gate beside the target reported; 0 if it reported none.
+func (l *routeLatency) end(now, expectedNs int64) {
 	l.inFlight.Add(-1)
 	l.lastProgressNs.Store(now)
+	if expectedNs > 0 {
+		l.expectedNs.Store(expectedNs)
+		l.expectedAt.Store(now)
+	}
 }
 
 // unansweredFor returns the nanoseconds for which calls have been in flight and none has ended; 0 without calls.
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -43,6 +43,9 @@
 	// SlowRatio is the ratio of a target's latency to that of the faster targets above which the target counts as slow
 	// and gets calls only when no other has room; 0 turns that off.
 	SlowRatio float64
+	// LearnedCapacity divides calls by the free capacity of the targets, as the gates beside them have learned it,
+	// instead of sending each to the better of two targets.
+	LearnedCapacity bool
 	// OnEject, if set, is called for each target that is ejected, with the duration of the ejection.
 	OnEject func(t *registry.Target, pause time.Duration)
 	// CutoffCache is shared by the pickers of a node; nil gives the picker its own.
@@ -108,6 +111,8 @@
 	// latencyNs is the smoothed latency over all targets.
 	latencyNs  atomic.Int64
 	references referenceLatencies
+	// localUse and remoteUse are the shares of the limits in use in this data centre and in the others.
+	localUse, remoteUse smoothedUse
 
 	mu      sync.Mutex
 	tracked map[string]trackedTarget
@@ -194,9 +199,9 @@
 			Detail: "the service is overloaded and sheds requests of this level",
 		}
 	}
-	e := p.choose(now, &q, false)
+	e, queueWait := p.choose(now, &q, false)
 	if e == nil {
-		e = p.choose(now, &q, true)
+		e, queueWait = p.choose(now, &q, true)
 	}
 	if e == nil {
 		return Choice{}, &outcome.Refusal{
@@ -205,8 +210,8 @@
 		}
 	}
 	e.inFlight.Add(1)
-	choice := Choice{picker: p, entry: *e, route: q.Route, organisation: q.Organisation}
-	if p.config.SlowRatio > 0 {
+	choice := Choice{picker: p, entry: *e, route: q.Route, organisation: q.Organisation, queueWait: queueWait}
+	if p.config.SlowRatio > 0 || p.config.LearnedCapacity {
 		choice.latency = e.routeLatencies.add(q.Route)
 		choice.latency.begin(now)
 	}
@@ -235,8 +240,8 @@
 	return &apiv1.Cutoff{Service: service, Common: common, Own: own}
 }
 
-// choose returns the target for a call, or nil. Ejected targets are eligible only if ejected is true.
-func (p *Picker) choose(now int64, q *Query, ejected bool) *entry {
+// chooseByScore returns the target for a call by load per slot times latency, or nil.
+func (p *Picker) chooseByScore(now int64, q *Query, ejected bool) *entry {
 	t := p.table.Load()
 	reference := p.reference(now, q.Route, t)
 	if probe := p.drawProbe(now, t.local, q, ejected, reference); probe != nil {
@@ -396,7 +401,8 @@
 	route        string
 	organisation string
 	// latency is nil if slow targets are not detected.
-	latency *routeLatency
+	latency   *routeLatency
+	queueWait time.Duration
 }
 
 // Target returns the chosen target.
@@ -419,7 +425,7 @@
 		p.observeNotices(now, c.entry.target, o.Load.GetLeaving(), rateLimit)
 	}
 	if c.latency != nil {
-		c.latency.end(now)
+		c.latency.end(now, o.Load.GetExpectedTimeNs())
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/shed/meter.go
+++ b/internal/shed/meter.go
@@ -62,11 +62,23 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.decay(now)
-	// Remove the rest of its arrival, which has decayed for that time.
-	m.arrivals = max(m.arrivals-math.Exp(-held.Seconds()/meterDecay.Seconds()), 0)
+	m.removeArrival(held)
 	m.abortedSlotSeconds += held.Seconds()
 }
 
+// Moved counts a request that queued for a time, held no slot and went to another target, which counts it as well.
+func (m *Meter) Moved(now time.Time, queued time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.decay(now)
+	m.removeArrival(queued)
+}
+
+// removeArrival removes the rest of an arrival, which has decayed since. The caller holds mu.
+func (m *Meter) removeArrival(since time.Duration) {
+	m.arrivals = max(m.arrivals-math.Exp(-since.Seconds()/meterDecay.Seconds()), 0)
+}
+
 // Finished counts a request that held a slot for a time and completed.
 func (m *Meter) Finished(now time.Time, held time.Duration) {
 	m.mu.Lock()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -18,6 +18,8 @@
 	Attempts atomic.Int64
 	// ExtraAttempts counts attempts after the first of a call.
 	ExtraAttempts atomic.Int64
+	// MovedCalls counts calls that were sent to another target since the first had a queue while others had room.
+	MovedCalls atomic.Int64
 	// Executions counts requests that were sent to a target of this host.
 	Executions atomic.Int64
 	// Fences counts guarantees given to other nodes that a call was not started and never will be.
@@ -103,6 +105,7 @@
 			"sub_calls":      m.SubCalls.Load(),
 			"attempts":       m.Attempts.Load(),
 			"extra_attempts": m.ExtraAttempts.Load(),
+			"moved_calls":    m.MovedCalls.Load(),
 			"executions":     m.Executions.Load(),
 			"fences":         m.Fences.Load(),
 			"attaches":       m.Attaches.Load(),
