--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -5,7 +5,9 @@
 // A Controller admits requests to one target. It holds
 //
 //   - a limit: how many requests may run at once. It never exceeds the slots that the target
-//     announces, and adapts to the observed service time because that number may be wrong;
+//     announces, and adapts to the observed service time because that number may be wrong.
+//     With Config.FixedLimit it is a share of the announced slots, and with Config.LearnLimit less if the target was
+//     learned to handle fewer requests well (servicerate);
 //   - a rate limit, if the target names one in its responses: how many requests may start in a second;
 //   - a queue: requests that may run soon, ordered by class, then depth in the call tree
 //     (deeper first, since more work has been spent on them already), then organisation by
--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -21,6 +21,9 @@
 // score raised until its slow start is over. Targets that leave, drain or are excluded by the
 // query are not drawn.
 //
+// With Config.LearnedCapacity, calls are divided among the targets of the data centre by their free capacity instead, as
+// the gates beside them have learned it, and leave the data centre gradually (learned.go).
+//
 // # Slow targets
 //
 // With Config.SlowRatio, latencies are kept for each route. A target is slow when its calls take, or have been
