Put targets without a report for a route in relation to the others

The time of a route that a caller seldom uses was taken from the latency of all calls at the target.

--- a/internal/route/learned.go
+++ b/internal/route/learned.go
@@ -67,6 +67,9 @@
 	weights      [maxWeighed]float64
 	first, count int
 	total        float64
+	// expected is the mean of the times that the targets have reported for the route, of known targets.
+	expected float64
+	known    int
 	// requests and limit are the sums of what these targets have reported.
 	requests, limit float64
 }
@@ -114,6 +117,7 @@
 		w.first = int(p.random() % uint64(len(w.entries)))
 	}
 	service := p.latencyNs.Load()
+	var times [maxWeighed]float64
 	onlySlow := true
 	for i := range w.count {
 		e := w.at(i)
@@ -127,7 +131,7 @@
 		} else if onlySlow {
 			onlySlow = false
 			clear(w.weights[:i])
-			w.total, w.requests, w.limit = 0, 0, 0
+			w.requests, w.limit, w.expected, w.known = 0, 0, 0, 0
 		}
 		requests, limit := e.load(now)
 		if limit > 0 {
@@ -138,9 +142,32 @@
 		}
 		used := float64(requests) / float64(limit)
 		room := max(1-used, minRoom/max(used, 1))
-		w.weights[i] = room * float64(limit) / e.expectedTime(now, q.Route, service) * e.slowStartShare(now, p.config.SlowStart)
-		w.total += w.weights[i]
+		w.weights[i] = room * float64(limit) * e.slowStartShare(now, p.config.SlowStart)
+		if times[i] = e.reportedTime(now, q.Route); times[i] > 0 {
+			w.known++
+			w.expected += (times[i] - w.expected) / float64(w.known)
+		}
+	}
+	for i := range w.count {
+		if w.weights[i] > 0 {
+			w.weights[i] /= w.expectedTime(now, i, times[i], service)
+			w.total += w.weights[i]
+		}
+	}
+}
+
+// expectedTime returns the time in nanoseconds for which a call of the route holds a slot of a target: as the gate beside
+// it has reported, or else by the latency of all calls there that this node has observed. Routes differ by more than
+// targets do, so that is put in relation to what other targets have reported for the route.
+func (w *weighedTargets) expectedTime(now int64, i int, reported float64, service int64) float64 {
+	if reported > 0 {
+		return reported
+	}
+	latency := w.at(i).latency(now, service)
+	if w.known > 0 && service > 0 {
+		return w.expected * latency / float64(max(service, int64(minLatency)))
 	}
+	return latency
 }
 
 // at returns the entry of a weight.
@@ -150,12 +177,13 @@
 // queue there at most.
 func (p *Picker) drawWeighed(now int64, q *Query, w *weighedTargets) (*entry, time.Duration) {
 	var drawn *entry
+	index := 0
 	left := p.fraction() * w.total
 	for i, weight := range w.weights[:w.count] {
 		if weight == 0 {
 			continue
 		}
-		drawn = w.at(i)
+		drawn, index = w.at(i), i
 		if left -= weight; left < 0 {
 			break
 		}
@@ -169,22 +197,21 @@
 	if limit == 0 || others.limit <= 0 || others.use() > roomElsewhere {
 		return drawn, 0
 	}
-	wait := queueWaitShare * drawn.expectedTime(now, q.Route, p.latencyNs.Load())
+	wait := queueWaitShare * w.expectedTime(now, index, drawn.reportedTime(now, q.Route), p.latencyNs.Load())
 	return drawn, max(time.Duration(wait), minQueueWait)
 }
 
 // fraction returns the next random number in [0, 1).
 func (p *Picker) fraction() float64 { return float64(p.random()>>11) / (1 << 53) }
 
-// expectedTime returns the time in nanoseconds for which a call of a route holds a slot: as the gate beside the target
-// last reported it, or else the latency that this node has observed.
-func (e *entry) expectedTime(now int64, route string, service int64) float64 {
-	if l := e.routeLatencies.find(route); l != nil && now-l.expectedAt.Load() <= int64(expectedTimeTTL) {
-		if ns := l.expectedNs.Load(); ns > 0 {
-			return float64(max(ns, int64(minLatency)))
-		}
+// reportedTime returns the time in nanoseconds for which a call of a route holds a slot, as the gate beside the target
+// last reported it; 0 if that is unknown or too old.
+func (e *entry) reportedTime(now int64, route string) float64 {
+	l := e.routeLatencies.find(route)
+	if l == nil || now-l.expectedAt.Load() > int64(expectedTimeTTL) || l.expectedNs.Load() == 0 {
+		return 0
 	}
-	return e.latency(now, service)
+	return float64(max(l.expectedNs.Load(), int64(minLatency)))
 }
 
 // QueueWait returns how long the call should queue at the target at most, since other targets have room; 0 for no such
--- a/internal/route/learned_test.go
+++ b/internal/route/learned_test.go
@@ -95,6 +95,29 @@
 	require.Equal(t, 100, reported(t, p, c, 100, report)["near"])
 }
 
+// TestFullDataCentresKeepTheirCallsIfTheyMust guards against calls that leave for a data centre that is full too although
+// the operator has turned that off.
+func TestFullDataCentresKeepTheirCallsIfTheyMust(t *testing.T) {
+	for _, ratio := range []float64{0, 0.5} {
+		p, c := learnedPicker(target("near", "kl"), target("far", "shah-alam"))
+		p.config.FullSpillRatio = ratio
+		report := func(node string) *apiv1.LoadReport {
+			return &apiv1.LoadReport{InFlight: 100, Queued: map[string]uint32{"near": 60, "far": 0}[node], Limit: 100, ExpectedTimeNs: int64(10 * time.Millisecond)}
+		}
+		reported(t, p, c, 1000, report)
+		far := 0
+		for range 100 {
+			choice, refusal := p.Pick(Query{})
+			require.Nil(t, refusal)
+			if choice.Target().Node == "far" {
+				far++
+			}
+			choice.Done(Observation{Outcome: Cancelled})
+		}
+		require.Equal(t, ratio > 0, far > 0, "%d of 100 with a ratio of %v", far, ratio)
+	}
+}
+
 // TestVerySlowTargetsGetNoCallsByCapacity is TestSlowTargetsGetNoCalls with learned capacity: two fifths of the targets
 // take twelve times as long for nine seconds, longer than the timeout of their calls.
 func TestVerySlowTargetsGetNoCallsByCapacity(t *testing.T) {
--- a/internal/servicerate/loads_test.go
+++ b/internal/servicerate/loads_test.go
@@ -119,6 +119,19 @@
 	require.LessOrEqual(t, r.quantile(0.99), before.quantile(0.99)+time.Millisecond)
 }
 
+// TestRouteWithFewCalls guards against calls of a rare and long route that all go to targets of which its time isn't
+// known, or to stalled ones: each host makes one such call in three seconds to each target.
+func TestRouteWithFewCalls(t *testing.T) {
+	l := stallLoad()
+	l.longShare, l.perSecond = 0.02, 7800
+	before, r, _ := compare(t, l)
+	require.Zero(t, r.refused)
+	require.LessOrEqual(t, r.late, before.late)
+	_, largest := r.spread()
+	require.Less(t, largest, 0.15)
+	require.Less(t, r.deviation, 0.15)
+}
+
 // TestKneeBelowTheFixedLimit guards against targets that are driven above their knee by a wave of demand and stay
 // there: with more than 0.7 of the slots in use work takes 1.6 times as long, so they finish less than below.
 func TestKneeBelowTheFixedLimit(t *testing.T) {
--- a/internal/servicerate/model_test.go
+++ b/internal/servicerate/model_test.go
@@ -24,6 +24,8 @@
 	// spread is by how much the work of a call differs from the mean, either way.
 	spread    float64
 	perSecond float64
+	// longShare is the share of calls of a second route, whose work takes ten times as long.
+	longShare float64
 	// wave is the amplitude of the demand of each data centre as a share of its mean; waves of wavePeriod are out of
 	// phase between data centres.
 	wave       float64
@@ -148,6 +150,7 @@
 // modelCall is one call on its way.
 type modelCall struct {
 	host    int
+	route   string
 	tried   []string
 	target  *modelTarget
 	choice  route.Choice
@@ -258,12 +261,16 @@
 			return
 		}
 	}
-	m.call(&modelCall{host: host, begun: m.now})
+	c := &modelCall{host: host, begun: m.now, route: "r"}
+	if m.longShare > 0 && m.rnd.Float64() < m.longShare {
+		c.route = "long"
+	}
+	m.call(c)
 }
 
 // call sends a call to the target that the picker of its host chooses.
 func (m *model) call(c *modelCall) {
-	choice, refusal := m.pickers[c.host].Pick(route.Query{Route: "r", Exclude: c.tried})
+	choice, refusal := m.pickers[c.host].Pick(route.Query{Route: c.route, Exclude: c.tried})
 	if refusal != nil {
 		m.refuse()
 		return
@@ -334,6 +341,9 @@
 	t.running++
 	c.started, c.ticket = m.now, ticket
 	took := m.work.Seconds() * (1 - m.spread + 2*m.spread*m.rnd.Float64()) / t.speed
+	if c.route == "long" {
+		took *= 10
+	}
 	if t.stalled {
 		took *= m.stallFactor
 	}
@@ -348,7 +358,7 @@
 	t, m := c.target, c.target.model
 	t.count()
 	t.running--
-	t.gate.Finish(m.now, c.started, admission.Result{Kind: admission.Success, Route: "r", Ticket: c.ticket})
+	t.gate.Finish(m.now, c.started, admission.Result{Kind: admission.Success, Route: c.route, Ticket: c.ticket})
 	t.decide()
 	c.answer(route.Success)
 }
@@ -361,13 +371,15 @@
 		m.refuse()
 		return
 	}
-	m.after(c.link, func() { m.call(&modelCall{host: c.host, begun: c.begun, tried: []string{c.target.record.ID()}}) })
+	m.after(c.link, func() {
+		m.call(&modelCall{host: c.host, begun: c.begun, route: c.route, tried: []string{c.target.record.ID()}})
+	})
 }
 
 // answer brings the load report and the outcome to the caller.
 func (c *modelCall) answer(o route.CallOutcome) {
 	m := c.target.model
-	report := c.target.gate.LoadForRoute(m.now, "", "r").Message()
+	report := c.target.gate.LoadForRoute(m.now, "", c.route).Message()
 	choice := c.choice
 	m.after(c.link, func() {
 		took := m.now.Sub(c.begun)
