--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -7,6 +7,7 @@
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/coldstart"
+	"github.com/guavaford/guavaford/internal/servicerate"
 )
 
 // Request holds the attributes of a request that decide on its admission.
@@ -42,6 +43,9 @@
 	Cold coldstart.Policy
 	// ColdBurst is the largest number of requests that may start at once at a cold target; 0 leaves that to the rate limit.
 	ColdBurst float64
+	// LearnLimit lowers a fixed limit to what the target handles well, as learned from the requests that it serves, and
+	// adds to load reports how long requests take there.
+	LearnLimit bool
 	// NoShedding turns cutoffs off. Requests are then shed early only by the nodes at which they enter the fleet.
 	NoShedding bool
 }
@@ -65,6 +69,10 @@
 	// Downstream is the time during which the target waited for sub-calls. It is left out of
 	// the limiter's samples, as it says nothing about the load of this target.
 	Downstream time.Duration
+	// Route is the route of the request.
+	Route string
+	// Ticket is that of the decision that started the request; Permit.Release sets it.
+	Ticket servicerate.Ticket
 }
 
 // Load is the state of a controller that is reported to callers.
@@ -78,6 +86,12 @@
 	RateLimit float64
 	// ColdRate is the number of requests that may start in a second while the target is cold; 0 if it is warm.
 	ColdRate float64
+	// ExpectedTime is how long a request of the route of the answered request holds a slot; 0 if that isn't learned.
+	ExpectedTime time.Duration
+	// LearnedLimit is the number of concurrent requests that the target handles well; 0 if that isn't learned.
+	LearnedLimit int
+	// Slowdown is how many times their usual time requests take now; 0 if that isn't learned.
+	Slowdown float64
 }
 
 // Message returns the load as a message between nodes.
@@ -90,6 +104,8 @@
 		LatencyNs: int64(l.Latency),
 		Draining:  l.Draining,
 		RateLimit: l.RateLimit,
+
+		ExpectedTimeNs: int64(l.ExpectedTime),
 	}
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -41,6 +41,8 @@
 	// ColdExcess and ColdSlack bound the requests to a cold target in any second: its rate times ColdExcess, and ColdSlack
 	// more. 0 stands for the defaults.
 	ColdExcess, ColdSlack float64
+	// LearnLimit lowers that fixed limit to what a target handles well.
+	LearnLimit bool
 }
 
 const (
@@ -91,6 +93,7 @@
 		ColdBurst:  a.coldBurst(cold.PerSecond),
 		FixedLimit: a.EntryShedding,
 		NoShedding: a.EntryShedding,
+		LearnLimit: a.EntryShedding && a.LearnLimit,
 	}
 }
 
--- a/internal/route/cold.go
+++ b/internal/route/cold.go
@@ -117,20 +117,21 @@
 	}
 }
 
-// choose returns the target for a call, or nil. Ejected targets are eligible only if ejected is true.
-func (p *Picker) choose(now int64, q *Query, ejected bool) *entry {
+// choose returns the target for a call, or nil, and how long the call should queue there at most; 0 for no such bound.
+// Ejected targets are eligible only if ejected is true.
+func (p *Picker) choose(now int64, q *Query, ejected bool) (*entry, time.Duration) {
 	if now >= p.coldUntilNs.Load() {
 		return p.chooseWarm(now, q, ejected)
 	}
 	t, warm := p.table.Load(), *q
 	warm.warmOnly = true
 	if e := p.claimCold(now, t.local, q, ejected); e != nil {
-		return e
+		return e, 0
 	}
-	if e := p.chooseWarm(now, &warm, ejected); e != nil {
-		return e
+	if e, queueWait := p.chooseWarm(now, &warm, ejected); e != nil {
+		return e, queueWait
 	}
-	return p.claimCold(now, t.remote, q, ejected)
+	return p.claimCold(now, t.remote, q, ejected), 0
 }
 
 // claimCold returns a cold target at which a call of this node is due, or nil.
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -43,6 +43,9 @@
 	// SlowRatio is the ratio of a target's latency to that of the faster targets above which the target counts as slow
 	// and gets calls only when no other has room; 0 turns that off.
 	SlowRatio float64
+	// LearnedCapacity divides calls by the free capacity of the targets, as the gates beside them have learned it,
+	// instead of sending each to the better of two targets.
+	LearnedCapacity bool
 	// OnEject, if set, is called for each target that is ejected, with the duration of the ejection.
 	OnEject func(t *registry.Target, pause time.Duration)
 	// CutoffCache is shared by the pickers of a node; nil gives the picker its own.
@@ -112,6 +115,8 @@
 	references referenceLatencies
 	// coldUntilNs is the end of the latest cold time of a target, in nanoseconds since the picker was created.
 	coldUntilNs atomic.Int64
+	// localUse and remoteUse are the shares of the limits in use in this data centre and in the others.
+	localUse, remoteUse smoothedUse
 
 	mu      sync.Mutex
 	tracked map[string]trackedTarget
@@ -204,16 +209,16 @@
 			Detail: "the service is overloaded and sheds requests of this level",
 		}
 	}
-	e := p.choose(now, &q, false)
+	e, queueWait := p.choose(now, &q, false)
 	if e == nil {
-		e = p.choose(now, &q, true)
+		e, queueWait = p.choose(now, &q, true)
 	}
 	if e == nil {
 		return Choice{}, p.noTarget(now, &q)
 	}
 	e.inFlight.Add(1)
-	choice := Choice{picker: p, entry: *e, route: q.Route, organisation: q.Organisation, cold: e.cold.cold(now)}
-	if p.config.SlowRatio > 0 && !choice.cold {
+	choice := Choice{picker: p, entry: *e, route: q.Route, organisation: q.Organisation, queueWait: queueWait, cold: e.cold.cold(now)}
+	if (p.config.SlowRatio > 0 || p.config.LearnedCapacity) && !choice.cold {
 		choice.latency = e.routeLatencies.add(q.Route)
 		choice.latency.begin(now)
 	}
@@ -242,8 +247,8 @@
 	return &apiv1.Cutoff{Service: service, Common: common, Own: own}
 }
 
-// chooseWarm returns the target for a call by the loads and latencies of targets, or nil.
-func (p *Picker) chooseWarm(now int64, q *Query, ejected bool) *entry {
+// chooseByScore returns the target for a call by load per slot times latency, or nil.
+func (p *Picker) chooseByScore(now int64, q *Query, ejected bool) *entry {
 	t := p.table.Load()
 	reference := p.reference(now, q.Route, t)
 	if probe := p.drawProbe(now, t.local, q, ejected, reference); probe != nil {
@@ -406,7 +411,8 @@
 	route        string
 	organisation string
 	// latency is nil if slow targets are not detected.
-	latency *routeLatency
+	latency   *routeLatency
+	queueWait time.Duration
 	// cold is true if the target was cold when it was chosen.
 	cold bool
 }
@@ -431,7 +437,7 @@
 		p.observeNotices(now, c.entry.target, o.Load.GetLeaving(), rateLimit)
 	}
 	if c.latency != nil {
-		c.latency.end(now)
+		c.latency.end(now, o.Load.GetExpectedTimeNs())
 	}
 	p.observeCold(now, m, o.Load)
 	if c.cold {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -24,6 +24,8 @@
 	Withdrawn atomic.Int64
 	// InvalidAnswers counts answers of targets of this host that ended their exchange by an invalid status.
 	InvalidAnswers atomic.Int64
+	// MovedCalls counts calls that were sent to another target since the first had a queue while others had room.
+	MovedCalls atomic.Int64
 	// Executions counts requests that were sent to a target of this host.
 	Executions atomic.Int64
 	// Fences counts guarantees given to other nodes that a call was not started and never will be.
@@ -116,6 +118,7 @@
 			"moved_attempts":  m.MovedAttempts.Load(),
 			"withdrawn":       m.Withdrawn.Load(),
 			"invalid_answers": m.InvalidAnswers.Load(),
+			"moved_calls":     m.MovedCalls.Load(),
 			"executions":      m.Executions.Load(),
 			"fences":          m.Fences.Load(),
 			"attaches":        m.Attaches.Load(),
