Keep answers while they are read, and refuse bookings without room for one

Callers saw 57 to 86 of 300 answers of 960,000 bytes cut off: beyond 64 MiB calltable discarded the oldest kept answers, also while they were read.

A call takes room for its answer before it starts; without room it is refused as not run (answers-full, 503, Retry-After) and another target is tried. An answer that outgrows its room takes more or is passed on to its reader without being kept. Kept answers and those being received stay within 64 MiB.

--- a/internal/calltable/spool.go
+++ b/internal/calltable/spool.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 )
 
 // KeptAnswerBytes is the largest response body that is kept completely, so that further readers can read it as well. Of
@@ -21,14 +23,20 @@
 // closed.
 var ErrAborted = errors.New("answer was cut off")
 
-// ResponseBuffer buffers one response while it is received. The writer blocks only if the response exceeds
-// KeptAnswerBytes and the first reader has not yet read the buffered part.
+// ResponseBuffer buffers one response while it is received. The writer blocks only if the response exceeds the room for
+// it and the first reader has not yet read the buffered part.
 type ResponseBuffer struct {
+	clock clock.Clock
+	// table is where more room comes from.
+	table *room
+
 	mu sync.Mutex
 	// changed is closed, and replaced, at each change that readers or the writer may wait for.
 	changed chan struct{}
 	header  *apiv1.AnswerHeader
 	data    []byte
+	// room is the number of bytes that may be buffered.
+	room int
 	// base is the offset of data[0] in the body.
 	base int
 	// taken is the greatest offset in the body up to which a reader has read.
@@ -40,11 +48,17 @@
 	allowanceLeft int
 	// readerGone is set once a reader has closed.
 	readerGone bool
+	// readers counts the open readers.
+	readers int
+	// readToEnd is set once a reader has closed that had read the whole body, or its error, or that has no successor; another may
+	// come until readableUntil.
+	readToEnd     bool
+	readableUntil time.Time
 }
 
-// NewResponseBuffer returns an empty buffer.
-func NewResponseBuffer() *ResponseBuffer {
-	return &ResponseBuffer{changed: make(chan struct{})}
+// newResponseBuffer returns an empty buffer without room.
+func newResponseBuffer(c clock.Clock, table *room) *ResponseBuffer {
+	return &ResponseBuffer{clock: c, table: table, changed: make(chan struct{})}
 }
 
 // notify wakes all goroutines that wait for a change. The caller holds mu.
@@ -61,44 +75,95 @@
 	s.notify()
 }
 
-// Write appends to the body. If the buffer is full, it blocks until the first reader has read from it, and returns
-// ErrAborted if a reader has closed instead.
+// Write appends to the body. If the buffer is full and there is no more room, it blocks until the first reader has read
+// from it, and returns ErrAborted if a reader has closed instead.
 func (s *ResponseBuffer) Write(ctx context.Context, p []byte) error {
+	for len(p) > 0 {
+		part := p[:min(len(p), minRoom)]
+		if err := s.write(ctx, part); err != nil {
+			return err
+		}
+		p = p[len(part):]
+	}
+	return nil
+}
+
+// write appends a part of at most minRoom bytes.
+func (s *ResponseBuffer) write(ctx context.Context, p []byte) error {
 	for {
 		s.mu.Lock()
-		if len(s.data)+len(p) <= KeptAnswerBytes {
-			s.reserve()
+		if len(s.data)+len(p) <= s.room {
+			s.reserve(len(p))
 			s.data = append(s.data, p...)
 			s.notify()
 			s.mu.Unlock()
 			return nil
 		}
+		more := s.moreRoom(len(p))
+		s.mu.Unlock()
+		grown, freed := false, (<-chan struct{})(nil)
+		if more > 0 {
+			grown, freed = s.table.grow(s.clock.Now(), more)
+		}
+		s.mu.Lock()
+		if grown {
+			s.room += more
+			s.mu.Unlock()
+			continue
+		}
 		if s.taken > s.base {
-			s.data = append([]byte(nil), s.data[s.taken-s.base:]...)
-			s.base = s.taken
+			n := copy(s.data, s.data[s.taken-s.base:])
+			s.data, s.base = s.data[:n], s.taken
 			s.mu.Unlock()
 			continue
 		}
-		gone, changed := s.readerGone, s.changed
+		gone, changed := s.readerGone && s.readers == 0, s.changed
 		s.mu.Unlock()
-		if gone {
+		if gone && more <= 0 {
 			return ErrAborted
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := await(ctx, changed, freed); err != nil {
+			return err
 		}
 	}
 }
 
-// reserve allocates the buffer for the complete body before its first part is written, if its length is known from the
-// header. The caller holds mu.
-func (s *ResponseBuffer) reserve() {
-	length := s.header.GetContentLength()
-	if s.data == nil && s.base == 0 && length > 0 && length <= KeptAnswerBytes {
-		s.data = make([]byte, 0, length)
+// await waits until one of the channels is closed, growInterval has passed or ctx ends.
+func await(ctx context.Context, changed, freed <-chan struct{}) error {
+	timer := time.NewTimer(growInterval)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-freed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
 	}
+	return nil
+}
+
+// moreRoom returns how much room to ask for before n more bytes are buffered: enough for the complete body if its length
+// is known, else twice as much as now, up to KeptAnswerBytes. The caller holds mu.
+func (s *ResponseBuffer) moreRoom(n int) int {
+	want := max(2*s.room, len(s.data)+n)
+	if length := s.header.GetContentLength(); s.base == 0 && length > 0 && length <= KeptAnswerBytes {
+		want = max(int(length), len(s.data)+n)
+	}
+	return min(want, KeptAnswerBytes) - s.room
+}
+
+// reserve allocates memory for n more bytes, within the room: for the complete body if its length is known, else twice as
+// much as before. The caller holds mu.
+func (s *ResponseBuffer) reserve(n int) {
+	if len(s.data)+n <= cap(s.data) {
+		return
+	}
+	size := 2 * cap(s.data)
+	if length := s.header.GetContentLength(); s.base == 0 && length > 0 {
+		size = int(min(length, KeptAnswerBytes))
+	}
+	size = min(max(size, len(s.data)+n), s.room)
+	s.data = append(make([]byte, 0, size), s.data...)
 }
 
 // Close ends the body. A nil error means that the body is complete. Only the first call has an effect.
@@ -143,41 +208,71 @@
 	return s.allowanceLeft
 }
 
-// StartDropped reports whether the start of the body was dropped.
-func (s *ResponseBuffer) StartDropped() bool {
+// setRoom sets the number of bytes that may be buffered, before the first part is written.
+func (s *ResponseBuffer) setRoom(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.room = bytes
+}
+
+// settle returns the size in bytes of what is kept, that of the whole body, and the room that the buffer had. What is kept
+// has its own size as room afterwards.
+func (s *ResponseBuffer) settle() (kept, total, had int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.base > 0
+	if cap(s.data) > len(s.data)+len(s.data)/4 {
+		s.data = append(make([]byte, 0, len(s.data)), s.data...)
+	}
+	kept, total, had = cap(s.data), s.base+len(s.data), s.room
+	s.room = kept
+	return kept, total, had
 }
 
-// size returns the number of buffered bytes.
-func (s *ResponseBuffer) size() int {
+// freeAt returns when the body need not be kept any more; false while somebody reads it, or may do so for the first time.
+func (s *ResponseBuffer) freeAt() (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.data)
+	return s.readableUntil, s.readers == 0 && s.readToEnd
 }
 
-// discard frees the body at the end of its retention. Later reads return ErrNotKept.
-func (s *ResponseBuffer) discard() {
+// discard frees the body unless somebody reads it. Later reads return ErrNotKept.
+func (s *ResponseBuffer) discard() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.readers > 0 {
+		return false
+	}
 	s.base += len(s.data) + 1
-	s.data = nil
+	s.data, s.room = nil, 0
+	return true
 }
 
-// Reader returns a reader that starts at the beginning of the body. While the response is received, only the first
-// reader may read slowly without missing a part; other readers get ErrNotKept for a part that was dropped.
-func (s *ResponseBuffer) Reader(ctx context.Context) *ResponseReader {
-	return &ResponseReader{buffer: s, ctx: ctx}
+// Reader returns a reader that starts at the beginning of the body, or false if the beginning was dropped. While the
+// response is received, only the first reader may read slowly without missing a part; other readers get ErrNotKept for a
+// part that was dropped. remote is set if what is read goes over a connection, which may be lost before all of it has arrived.
+func (s *ResponseBuffer) Reader(ctx context.Context, remote bool) (*ResponseReader, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.base > 0 {
+		return nil, false
+	}
+	s.readers++
+	return &ResponseReader{buffer: s, ctx: ctx, remote: remote}, true
 }
 
 // ResponseReader reads the body of one response.
 type ResponseReader struct {
 	buffer *ResponseBuffer
 	ctx    context.Context
+	remote bool
 	offset int
+	// ended is set at the end of the body, abandoned if nobody will read it after this reader.
+	ended, abandoned, closed bool
 }
 
+// Abandon tells that its caller gives up the call, so that nobody will read the response after this reader.
+func (r *ResponseReader) Abandon() { r.abandoned = true }
+
 // Read reads from the body and blocks until there is something to read. It returns io.EOF only at the end of a complete
 // body.
 func (r *ResponseReader) Read(p []byte) (int, error) {
@@ -191,7 +286,7 @@
 		if n := copy(p, s.data[r.offset-s.base:]); n > 0 {
 			r.offset += n
 			s.taken = max(s.taken, r.offset)
-			if s.base+KeptAnswerBytes/2 < s.taken {
+			if s.base+s.room/2 < s.taken {
 				s.notify()
 			}
 			s.mu.Unlock()
@@ -200,9 +295,11 @@
 		closed, err, changed := s.closed, s.err, s.changed
 		s.mu.Unlock()
 		if closed && err == nil {
+			r.ended = true
 			return 0, io.EOF
 		}
 		if closed {
+			r.ended = true
 			return 0, err
 		}
 		select {
@@ -217,8 +314,22 @@
 func (r *ResponseReader) Close() error {
 	s := r.buffer
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	if r.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	r.closed = true
+	s.readers--
 	s.readerGone = true
+	// A reader in this process that closes early does not come again.
+	if r.ended || r.abandoned || !r.remote {
+		s.readToEnd = true
+		if until := s.clock.Now().Add(attachTime); r.remote && !r.abandoned && until.After(s.readableUntil) {
+			s.readableUntil = until
+		}
+	}
 	s.notify()
+	s.mu.Unlock()
+	s.table.readEnded()
 	return nil
 }
--- a/internal/calltable/table.go
+++ b/internal/calltable/table.go
@@ -27,8 +27,8 @@
 	KeyRetention = 15 * time.Minute
 	// MaxCalls bounds the number of calls in the table. New calls beyond it are refused.
 	MaxCalls = 1 << 20
-	// MaxKeptBytes bounds the total size of the kept responses. Beyond it the oldest are dropped before
-	// AnswerRetention.
+	// MaxKeptBytes bounds the total size of the responses that are received or kept. Beyond it those that were read are
+	// dropped before AnswerRetention, the oldest first, and calls are refused before they start if there are none.
 	MaxKeptBytes = 64 << 20
 )
 
@@ -62,6 +62,8 @@
 // Call is the record of one call.
 type Call struct {
 	Response *ResponseBuffer
+	// route is the service and route of a call that was started.
+	route string
 	// cancelQueued cancels the call while it is queued.
 	cancelQueued func()
 	state        state
@@ -89,10 +91,7 @@
 	calls map[Key]*Call
 	// ends lists finished and fenced calls, in the order in which they ended.
 	ends []endedCall
-	// answers lists the kept responses, in the order in which their calls ended.
-	answers []keptAnswer
-	// kept is the total size of the kept responses, in bytes.
-	kept int
+	room *room
 }
 
 type endedCall struct {
@@ -100,15 +99,9 @@
 	ended time.Time
 }
 
-type keptAnswer struct {
-	buffer *ResponseBuffer
-	ended  time.Time
-	bytes  int
-}
-
 // New returns an empty table.
 func New(c clock.Clock) *Table {
-	return &Table{clock: c, calls: make(map[Key]*Call)}
+	return &Table{clock: c, calls: make(map[Key]*Call), room: newRoom()}
 }
 
 // Begin records a new call as queued for admission, unless the table holds it already or is full.
@@ -125,20 +118,42 @@
 	if len(t.calls) >= MaxCalls {
 		return nil, Full
 	}
-	call := &Call{Response: NewResponseBuffer(), cancelQueued: cancelQueued}
+	call := &Call{Response: newResponseBuffer(t.clock, t.room), cancelQueued: cancelQueued}
 	t.calls[key] = call
 	return call, Begun
 }
 
-// Start changes the state of a queued call to running. It returns false if the call was fenced in the meantime.
-func (t *Table) Start(call *Call) bool {
+// StartResult is the result of Table.Start.
+type StartResult int
+
+// The results of Start.
+const (
+	// Started means that the call is running now.
+	Started StartResult = iota
+	// WasFenced means that the call was fenced in the meantime.
+	WasFenced
+	// NoRoom means that there is no room for the response of the call, which stays queued.
+	NoRoom
+)
+
+// Start changes the state of a queued call to running, and takes room for its response as the route's responses need it. With NoRoom it
+// returns the time after which there may be room.
+func (t *Table) Start(call *Call, route string) (StartResult, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if call.state != queued {
-		return false
+		return WasFenced, 0
 	}
+	now := t.clock.Now()
+	t.room.expire(now)
+	bytes, retryAfter := t.room.take(now, route)
+	if bytes == 0 {
+		return NoRoom, retryAfter
+	}
+	call.Response.setRoom(bytes)
+	call.route = route
 	call.state = running
-	return true
+	return Started, 0
 }
 
 // FenceRefused fences a call that was refused while it was queued. It has no effect on a call in another state.
@@ -159,12 +174,12 @@
 
 // end records the final state of a call. The caller holds mu.
 func (t *Table) end(key Key, call *Call, s state) {
+	started := call.state == running
 	call.state = s
 	now := t.clock.Now()
 	t.ends = append(t.ends, endedCall{key: key, ended: now})
-	if size := call.Response.size(); size > 0 {
-		t.kept += size
-		t.answers = append(t.answers, keptAnswer{buffer: call.Response, ended: now, bytes: size})
+	if started {
+		t.room.keep(now, call.route, call.Response)
 	}
 	t.expire()
 }
@@ -180,7 +195,7 @@
 		if len(t.calls) >= MaxCalls {
 			return apiv1.CallState_CALL_STATE_UNSPECIFIED
 		}
-		call = &Call{Response: NewResponseBuffer()}
+		call = &Call{Response: newResponseBuffer(t.clock, t.room)}
 		t.calls[key] = call
 		t.end(key, call, fenced)
 		return apiv1.CallState_CALL_STATE_FENCED
@@ -217,17 +232,19 @@
 	return len(t.calls)
 }
 
-// expire removes calls past KeyRetention, and frees responses past AnswerRetention or in excess of MaxKeptBytes. The
-// caller holds mu.
+// KeptBytes returns the room that responses have, in bytes.
+func (t *Table) KeptBytes() int {
+	t.room.mu.Lock()
+	defer t.room.mu.Unlock()
+	return t.room.used
+}
+
+// expire removes calls past KeyRetention, and frees responses past AnswerRetention. The caller holds mu.
 func (t *Table) expire() {
 	now := t.clock.Now()
 	for len(t.ends) > 0 && now.Sub(t.ends[0].ended) > KeyRetention {
 		delete(t.calls, t.ends[0].key)
 		t.ends = t.ends[1:]
 	}
-	for len(t.answers) > 0 && (t.kept > MaxKeptBytes || now.Sub(t.answers[0].ended) > AnswerRetention) {
-		t.kept -= t.answers[0].bytes
-		t.answers[0].buffer.discard()
-		t.answers = t.answers[1:]
-	}
+	t.room.expire(now)
 }
--- a/internal/dispatch/bounded.go
+++ b/internal/dispatch/bounded.go
@@ -82,7 +82,7 @@
 	}
 	switch r.Code {
 	case outcome.Overloaded, outcome.QueueFull, outcome.Evicted, outcome.TargetLeaving, outcome.TargetFailed, outcome.TargetUnreachable,
-		outcome.NodeStopping, outcome.StaleConfiguration, outcome.RepeatRefused:
+		outcome.NodeStopping, outcome.StaleConfiguration, outcome.RepeatRefused, outcome.AnswersFull:
 		return true
 	case outcome.DeadlineTooShort:
 		// The queue of this target is too long, but that of another may be shorter. One more target is tried while over
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -194,7 +194,11 @@
 		own := headers.DefaultNames()
 		o.HeaderNames = &own
 	}
-	return &Gate{opts: o, calls: calltable.New(o.Clock), targets: make(map[string]*targetEntry)}
+	g := &Gate{opts: o, calls: calltable.New(o.Clock), targets: make(map[string]*targetEntry)}
+	if o.Metrics != nil {
+		o.Metrics.SetGauge("kept_answer_bytes", func() float64 { return float64(g.calls.KeptBytes()) })
+	}
+	return g
 }
 
 // SetTargets replaces the targets of the host. Targets that stay keep their admission state.
@@ -295,7 +299,7 @@
 		r := &outcome.Refusal{Code: outcome.OutcomeUnknown, Ran: outcome.RanUnknown, Detail: "the node has no record of the call"}
 		return refuse(h, r, nil)
 	}
-	return answerFromBuffer(ctx, h, call.Response)
+	return answerFromBuffer(ctx, h, call.Response, true)
 }
 
 // admitted is the permission of a call to run.
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -270,7 +270,7 @@
 		return refuse(h, outcome.NotRun(outcome.Overloaded, 0, "no room for another call record"), nil)
 	case calltable.Duplicate:
 		cancelQueued()
-		return answerFromBuffer(ctx, h, call.Response)
+		return answerFromBuffer(ctx, h, call.Response, remote(e, h))
 	}
 	permission, refusal := g.admit(queueCtx, e, h)
 	if refusal != nil {
@@ -278,10 +278,16 @@
 		g.calls.FenceRefused(key, call)
 		return publishRefusal(call, refuse(h, refusal, g.load(e, h)))
 	}
-	if !g.calls.Start(call) {
+	switch started, retryAfter := g.calls.Start(call, h.GetService()+" "+h.GetRoute()); started {
+	case calltable.WasFenced:
 		cancelQueued()
 		permission.abandon(e)
 		return publishRefusal(call, refuse(h, outcome.NotRun(outcome.Cancelled, 0, "the call was fenced"), nil))
+	case calltable.NoRoom:
+		cancelQueued()
+		permission.abandon(e)
+		g.calls.FenceRefused(key, call)
+		return publishRefusal(call, refuse(h, g.noRoom(h, retryAfter), g.load(e, h)))
 	}
 	deadline, _ := queueCtx.Deadline()
 	cancelQueued()
@@ -297,7 +303,21 @@
 		x.runToBuffer(runCtx, call, body)
 		g.calls.Finish(key, call)
 	}()
-	return answerFromBuffer(ctx, h, call.Response)
+	return answerFromBuffer(ctx, h, call.Response, remote(e, h))
+}
+
+// remote reports whether a call comes from another node than that of its target.
+func remote(e *targetEntry, h *apiv1.CallHeader) bool { return h.GetKey().GetNode() != e.target.Node }
+
+// noRoom returns the refusal of a call for whose answer there is no room, and logs it.
+func (g *Gate) noRoom(h *apiv1.CallHeader, retryAfter time.Duration) *outcome.Refusal {
+	if g.opts.LogLimiter != nil {
+		if leftOut, ok := g.opts.LogLimiter.Allow(g.opts.Clock.Now()); ok {
+			g.opts.Log.Warn("no room for another kept answer", "request", h.GetRequestId(), "route", h.GetRoute(), "kept_bytes", g.calls.KeptBytes(),
+				"retry_after", retryAfter, "left_out", leftOut)
+		}
+	}
+	return outcome.NotRun(outcome.AnswersFull, retryAfter, "the answers kept beside the target leave no room for another")
 }
 
 // publishRefusal stores the refusal of a call that was never started in its response buffer, for duplicates that wait.
@@ -336,7 +356,7 @@
 }
 
 // answerFromBuffer waits for the header of the answer in a response buffer, and returns the answer.
-func answerFromBuffer(ctx context.Context, h *apiv1.CallHeader, response *calltable.ResponseBuffer) *Answer {
+func answerFromBuffer(ctx context.Context, h *apiv1.CallHeader, response *calltable.ResponseBuffer, remote bool) *Answer {
 	header, err := response.Header(ctx)
 	if err != nil {
 		r := &outcome.Refusal{Code: outcome.OutcomeUnknown, Ran: outcome.RanUnknown, Detail: "the caller stopped waiting for the answer"}
@@ -348,14 +368,28 @@
 		left := response.AllowanceLeft()
 		return &Answer{Header: header, AllowanceLeft: func() (int, bool) { return left, true }}
 	}
-	if response.StartDropped() {
+	reader, ok := response.Reader(ctx, remote)
+	if !ok {
 		r := &outcome.Refusal{Code: outcome.AnswerTooLarge, Ran: outcome.RanYes, Detail: "the answer is no longer kept"}
 		return refuse(h, r, nil)
 	}
-	reader := response.Reader(ctx)
 	return &Answer{
 		Header:        header,
-		Body:          reader,
+		Body:          keptBody{reader, ctx},
 		AllowanceLeft: func() (int, bool) { return response.AllowanceLeft(), true },
 	}
 }
+
+// keptBody is the body of an answer that is kept.
+type keptBody struct {
+	*calltable.ResponseReader
+	ctx context.Context
+}
+
+// Close closes the reader. The answer is not kept for a caller that has cancelled its call, as that doesn't come again.
+func (b keptBody) Close() error {
+	if errors.Is(context.Cause(b.ctx), peer.ErrCancelled) {
+		b.Abandon()
+	}
+	return b.ResponseReader.Close()
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -59,6 +59,7 @@
 	RepeatRefused         Code = "repeat-refused"
 	Suspected             Code = "request-suspected"
 	Quarantined           Code = "request-quarantined"
+	AnswersFull           Code = "answers-full"
 )
 
 // entry holds the HTTP status and the title of a refusal code.
@@ -98,6 +99,7 @@
 	NodeStopping:          {http.StatusServiceUnavailable, "The node is stopping"},
 	Suspected:             {http.StatusServiceUnavailable, "The request waits for a trial"},
 	Quarantined:           {http.StatusServiceUnavailable, "The request crashes the targets that run it"},
+	AnswersFull:           {http.StatusServiceUnavailable, "No room to keep another answer"},
 	RepeatRefused:         {http.StatusServiceUnavailable, "No further attempt of the request is allowed"},
 }
 
--- a/internal/retry/backoff.go
+++ b/internal/retry/backoff.go
@@ -39,7 +39,7 @@
 	switch r.Code {
 	case outcome.Evicted, outcome.QueueFull, outcome.TargetLeaving, outcome.NodeStopping, outcome.TargetFailed, outcome.TargetUnreachable, outcome.Overloaded,
 		// The node beside one target may have lost contact with the control plane while others have not.
-		outcome.StaleConfiguration:
+		outcome.StaleConfiguration, outcome.AnswersFull:
 		return repeatable || r.Ran == outcome.RanNo
 	default:
 		return false
