--- a/internal/node/bodyfleet_test.go
+++ b/internal/node/bodyfleet_test.go
@@ -66,7 +66,8 @@
 	// stalled holds up targets whose plan says so before they read a body, until it is closed.
 	stalled chan struct{}
 	// linkRate is the number of bytes per second that pass between the nodes in each direction; 0 for any.
-	linkRate int
+	linkRate    int
+	there, back link
 }
 
 // bodyRun is one request at a target.
--- a/internal/node/uploads_test.go
+++ b/internal/node/uploads_test.go
@@ -14,6 +14,23 @@
 	"github.com/stretchr/testify/require"
 )
 
+// link is one direction of the link between the nodes. All connections share its rate.
+type link struct {
+	mu   sync.Mutex
+	next time.Time
+}
+
+// reserve returns when the last of n bytes has passed at a rate.
+func (l *link) reserve(n, rate int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.next.Before(now) {
+		l.next = now
+	}
+	l.next = l.next.Add(time.Duration(n) * time.Second / time.Duration(rate))
+	return l.next
+}
+
 // relay passes bytes between a connection and an address at linkRate.
 func (f *bodyFleet) relay(conn net.Conn, address string) {
 	defer conn.Close()
@@ -23,26 +40,22 @@
 	}
 	defer other.Close()
 	var wg sync.WaitGroup
-	wg.Go(func() { f.pass(conn, other) })
-	wg.Go(func() { f.pass(other, conn) })
+	wg.Go(func() { f.pass(conn, other, &f.there) })
+	wg.Go(func() { f.pass(other, conn, &f.back) })
 	wg.Wait()
 }
 
 // pass copies in packets of 1,400 bytes. What waits is bounded by small socket buffers, as at a switch.
-func (f *bodyFleet) pass(from, to net.Conn) {
+func (f *bodyFleet) pass(from, to net.Conn, over *link) {
 	defer to.Close()
 	_ = from.(*net.TCPConn).SetReadBuffer(32 << 10)
-	part, next := make([]byte, 1400), time.Now()
+	part := make([]byte, 1400)
 	for {
 		n, err := from.Read(part)
 		if err != nil {
 			return
 		}
-		if now := time.Now(); next.Before(now) {
-			next = now
-		}
-		next = next.Add(time.Duration(n) * time.Second / time.Duration(f.linkRate))
-		time.Sleep(time.Until(next))
+		time.Sleep(time.Until(over.reserve(n, f.linkRate)))
 		if _, err := to.Write(part[:n]); err != nil {
 			return
 		}
@@ -108,6 +121,7 @@
 				var wg sync.WaitGroup
 				var mu sync.Mutex
 				var finished []time.Duration
+				lost := 0
 				for u := range uploads {
 					wg.Go(func() {
 						for i := 0; ; i++ {
@@ -117,11 +131,14 @@
 							default:
 							}
 							p := plan{size: 60_000, refuse: "no", answer: 100, ends: "after"}
-							if a, err := f.send(b.Context(), "book", fmt.Sprintf("u-%d-%d", u, i), p, false, pace{}); err == nil && a.status == http.StatusOK {
-								mu.Lock()
+							a, err := f.send(b.Context(), "book", fmt.Sprintf("u-%d-%d", u, i), p, false, pace{})
+							mu.Lock()
+							if err == nil && a.status == http.StatusOK {
 								finished = append(finished, a.all)
-								mu.Unlock()
+							} else {
+								lost++
 							}
+							mu.Unlock()
 						}
 					})
 				}
@@ -141,6 +158,8 @@
 				report(b, "small", took)
 				report(b, "upload", finished)
 				b.ReportMetric(float64(failed), "failed")
+				b.ReportMetric(float64(len(finished)), "uploads-served")
+				b.ReportMetric(float64(lost), "uploads-not-served")
 			})
 		}
 	}
