Tell a process that is ending from one broken exchange

Seen: TestOperatorReleasesARequest failed once, since no host knew the deadly request as quarantined.

Cause: when an exchange breaks off, the gate opens one connection and takes the target for alive if that succeeds. A process closes its connections and its listener one after another: after 245 of 1,000 kills a connection still opened, for 1.3 ms in the middle.

Simulated targets break off 2 ms before they refuse connections, and the fleet's probe is the product's, so the tests of deadly requests have that gap in each crash; no check is changed.

--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -6,17 +6,20 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/headers"
+	"github.com/guavaford/guavaford/internal/upstream"
 )
 
 // Target is a simulated target on a host.
@@ -37,8 +40,9 @@
 	port   int
 	cancel context.CancelFunc
 	done   sync.WaitGroup
-	// crashed is closed when the target has crashed; crashOnce guards it.
+	// crashed is closed when the target crashes and its exchanges break off, ended closingTime later; crashOnce guards both.
 	crashed   chan struct{}
+	ended     chan struct{}
 	crashOnce sync.Once
 	// starts counts the crashed targets that this one replaces.
 	starts int
@@ -48,6 +52,7 @@
 func (h *Host) AddTarget(t *Target) {
 	t.host = h
 	t.crashed = make(chan struct{})
+	t.ended = make(chan struct{})
 	t.port = int(h.fleet.ports.Add(1))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.cancel = cancel
@@ -97,23 +102,33 @@
 	t.stopAnnouncing()
 }
 
-// Crash ends the target without an announcement: the requests that it runs break off, and new connections are refused until another
-// one starts in its place.
+// closingTime is the time from the end of the first connection of a crashed target until new ones are refused. Kernels close
+// the connections and the listener of a process one after another, in any order.
+const closingTime = 2 * time.Millisecond
+
+// Crash ends the target without an announcement: the requests that it runs break off, and closingTime later new connections are
+// refused until another one starts in its place.
 func (t *Target) Crash() {
 	t.crashOnce.Do(func() {
 		close(t.crashed)
-		t.host.mu.Lock()
-		delete(t.host.targets, t.address())
-		t.host.mu.Unlock()
 		t.cancel()
 		t.host.fleet.Crashes.Add(1)
-		next := &Target{Name: fmt.Sprintf("%s-%d", strings.TrimSuffix(t.Name, fmt.Sprintf("-%d", t.starts)), t.starts+1), Service: t.Service, Slots: t.Slots,
-			ServiceTime: t.ServiceTime, SubCalls: t.SubCalls, CrashedBy: t.CrashedBy, Downtime: t.Downtime, starts: t.starts + 1}
-		time.AfterFunc(t.Downtime, func() {
-			if !t.host.closed.Load() {
-				t.host.AddTarget(next)
-			}
-		})
+		time.AfterFunc(closingTime, t.end)
+	})
+}
+
+// end makes the host refuse connections to a crashed target, and starts another one after the downtime.
+func (t *Target) end() {
+	t.host.mu.Lock()
+	delete(t.host.targets, t.address())
+	t.host.mu.Unlock()
+	close(t.ended)
+	next := &Target{Name: fmt.Sprintf("%s-%d", strings.TrimSuffix(t.Name, fmt.Sprintf("-%d", t.starts)), t.starts+1), Service: t.Service, Slots: t.Slots,
+		ServiceTime: t.ServiceTime, SubCalls: t.SubCalls, CrashedBy: t.CrashedBy, Downtime: t.Downtime, starts: t.starts + 1}
+	time.AfterFunc(t.Downtime, func() {
+		if !t.host.closed.Load() {
+			t.host.AddTarget(next)
+		}
 	})
 }
 
@@ -155,6 +170,11 @@
 	if !ok {
 		return nil, &dialError{errNoTarget}
 	}
+	select {
+	case <-t.crashed:
+		return nil, io.ErrUnexpectedEOF
+	default:
+	}
 	type exchange struct {
 		resp *http.Response
 		err  error
@@ -175,11 +195,32 @@
 }
 
 // Probe reports whether connections to an address are refused.
-func (rt roundTripper) Probe(_ context.Context, address string) (refused bool) {
+func (rt roundTripper) Probe(ctx context.Context, address string) (refused bool) {
+	return upstream.Probe(ctx, rt.dial, address)
+}
+
+// dial opens a connection that carries nothing, and ends when the target has crashed.
+func (rt roundTripper) dial(_ context.Context, _, address string) (net.Conn, error) {
 	rt.host.mu.Lock()
-	defer rt.host.mu.Unlock()
-	_, ok := rt.host.targets[address]
-	return !ok
+	t, ok := rt.host.targets[address]
+	rt.host.mu.Unlock()
+	if !ok {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	near, far := net.Pipe()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_, _ = far.Read(make([]byte, 1))
+	}()
+	go func() {
+		select {
+		case <-t.ended:
+		case <-closed:
+		}
+		_ = far.Close()
+	}()
+	return near, nil
 }
 
 // serve counts a request, makes the sub-calls and answers after the service time.
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -91,21 +91,6 @@
 	return response, nil
 }
 
-// Probe reports whether a new connection to an address is refused: the process there has ended.
-func (t *Transport) Probe(ctx context.Context, address string) (refused bool) {
-	return Probe(ctx, t.Dial, address)
-}
-
-// Probe reports whether a new connection to an address is refused. One that opens is closed again.
-func Probe(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) (refused bool) {
-	c, err := dial(ctx, "tcp", address)
-	if err == nil {
-		_ = c.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 func closeBody(r *http.Request) {
 	if r.Body != nil {
 		_ = r.Body.Close()
