Run the tests of the probe in virtual time

TestProbeOfAProcessThatIsEnding failed once under the race detector, since the listener of the test closed later than the probe watches its connection. It now ends the process at four set times, and bounds the time that the probe takes.

--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -3,78 +3,80 @@
 import (
 	"context"
 	"net"
-	"sync"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// probeListener accepts connections as a process does.
-type probeListener struct {
-	net.Listener
-	mu    sync.Mutex
-	conns []net.Conn
+// probeTimeout bounds a probe in these tests.
+const probeTimeout = 100 * time.Millisecond
+
+// probedProcess is a process that accepts connections until it ends, in virtual time.
+type probedProcess struct {
+	ended chan struct{}
+	// serve, if set, handles an accepted connection.
+	serve func(c net.Conn)
 }
 
-func listenForProbes(t *testing.T, serve func(c net.Conn)) *probeListener {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	l := &probeListener{Listener: inner}
-	t.Cleanup(l.closeAll)
+// dial opens a connection, or refuses it once the process has ended.
+func (p *probedProcess) dial(context.Context, string, string) (net.Conn, error) {
+	select {
+	case <-p.ended:
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	default:
+	}
+	near, far := net.Pipe()
 	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			l.mu.Lock()
-			l.conns = append(l.conns, c)
-			l.mu.Unlock()
-			serve(c)
+		if p.serve != nil {
+			p.serve(far)
 		}
+		<-p.ended
+		_ = far.Close()
 	}()
-	return l
-}
-
-// closeAll closes the listener and all connections.
-func (l *probeListener) closeAll() {
-	_ = l.Close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.conns {
-		_ = c.Close()
-	}
+	return near, nil
 }
 
-func probe(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	return Probe(ctx, (&net.Dialer{}).DialContext, address)
+// probe probes a process that ends after some time, and returns the result and the time that it took.
+func probe(t *testing.T, after time.Duration, serve func(c net.Conn)) (refused bool, took time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &probedProcess{ended: make(chan struct{}), serve: serve}
+		time.AfterFunc(after, func() { close(p.ended) })
+		ctx, cancel := context.WithTimeout(t.Context(), probeTimeout)
+		defer cancel()
+		began := time.Now()
+		refused = Probe(ctx, p.dial, "target")
+		took = time.Since(began)
+		time.Sleep(after)
+	})
+	return refused, took
 }
 
 // TestProbeOfAProcessThatIsEnding guards against a crash that is taken for a single broken exchange: the connections of a
 // process may break off before its listener is closed, and a probe that connects in between saw a live process.
 func TestProbeOfAProcessThatIsEnding(t *testing.T) {
-	l := listenForProbes(t, func(net.Conn) {})
-	time.AfterFunc(10*time.Millisecond, l.closeAll)
-	require.True(t, probe(l.Addr().String()))
+	for _, after := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond, probeWatch - time.Millisecond} {
+		refused, took := probe(t, after, nil)
+		require.True(t, refused, after)
+		require.LessOrEqual(t, took, after+probeInterval)
+	}
 }
 
 // TestProbeOfALiveProcess guards against a live process that is taken for one that has ended, whatever it does with new
 // connections, and against a probe that holds back the failed request for long.
 func TestProbeOfALiveProcess(t *testing.T) {
-	for name, serve := range map[string]func(c net.Conn){
-		"waits for a request": func(net.Conn) {},
-		"speaks first":        func(c net.Conn) { _, _ = c.Write([]byte("hello")) },
+	for name, c := range map[string]struct {
+		serve func(c net.Conn)
+		most  time.Duration
+	}{
+		"waits for a request":            {nil, probeWatch},
+		"speaks first":                   {func(c net.Conn) { _, _ = c.Write([]byte("hello")) }, probeWatch},
+		"closes each connection at once": {func(c net.Conn) { _ = c.Close() }, probeTimeout},
 	} {
-		l := listenForProbes(t, serve)
-		began := time.Now()
-		require.False(t, probe(l.Addr().String()), name)
-		require.Less(t, time.Since(began), time.Second, name)
+		refused, took := probe(t, time.Second, c.serve)
+		require.False(t, refused, name)
+		require.LessOrEqual(t, took, c.most, name)
 	}
-	l := listenForProbes(t, func(c net.Conn) { _ = c.Close() })
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
-	require.False(t, Probe(ctx, (&net.Dialer{}).DialContext, l.Addr().String()), "closes each connection at once")
 }
