--- a/internal/shed/nested_test.go
+++ b/internal/shed/nested_test.go
@@ -13,15 +13,14 @@
 // nestedChain is a service whose requests hold a slot while they make calls to a deep service with a queue. The entries
 // see the loads of both.
 type nestedChain struct {
-	rnd      *rand.Rand
-	now      time.Time
-	relay    *LoadTracker
-	shedder  *Shedder
-	middle   *Meter
-	deep     *Meter
-	running  []runningRequest
-	queued   float64
-	deepRate float64
+	rnd     *rand.Rand
+	now     time.Time
+	relay   *LoadTracker
+	shedder *Shedder
+	middle  *Meter
+	deep    *Meter
+	running []runningRequest
+	queued  float64
 	// countQueueing makes the time that calls queue at the deep service count as work of the middle one.
 	countQueueing bool
 	served        int
