--- a/internal/control/frozen_test.go
+++ b/internal/control/frozen_test.go
@@ -139,6 +139,8 @@
 	for i := range lossNodes {
 		f.names = append(f.names, fmt.Sprintf("node-%d", i))
 		f.arrivals = append(f.arrivals, map[uint64]time.Time{})
+	}
+	for i := range lossNodes {
 		f.startNode(ctx, c, i)
 	}
 	return f
