Divide calls by learned capacity only where the settings ask for it

Existing deployments choose targets as before. TestLearnedCapacityIsSwitchedOff checks that nothing changes without the setting.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -27,6 +27,7 @@
 			&cli.IntFlag{Name: "metrics-port", Value: defaultMetricsPort, Destination: &o.MetricsPort, Usage: "port for metrics; 0 serves none"},
 			&cli.StringFlag{Name: "metrics-path", Value: "metrics", Destination: &o.MetricsPath, Usage: "path of the metrics"},
 			&cli.StringFlag{Name: "log-level", Value: "info", Destination: &o.LogLevel, Usage: "debug, info, warn or error"},
+			&cli.BoolFlag{Name: "learn-capacity", Destination: &o.LearnCapacity, Usage: "divide calls among the targets of a service by what each is learned to handle well"},
 			&cli.StringSliceFlag{Name: "disable", Destination: &disable, Usage: "features to turn off, separated by commas"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -52,7 +52,7 @@
 	config.FullSpillRatio = directFullSpillRatio
 	config.SlowRatio = directSlowRatio
 	config.ScanAllTargets = p.env.features.On(feature.ScanAllTargets)
-	if config.LearnedCapacity = p.env.features.On(feature.LearnedCapacity); config.LearnedCapacity {
+	if config.LearnedCapacity = p.learnsCapacity(); config.LearnedCapacity {
 		config.SlowRatio = learnedSlowRatio
 	}
 	for name, off := range map[feature.Name]func(){
--- a/internal/node/direct_test.go
+++ b/internal/node/direct_test.go
@@ -18,6 +18,12 @@
 
 // routeWithout returns the settings for picking targets behind a direct entry with the named features off.
 func routeWithout(t *testing.T, names ...feature.Name) route.Config {
+	t.Helper()
+	return routeConfigOf(t, settings.Node{DirectAddress: "127.0.0.1:1"}, names...)
+}
+
+// routeConfigOf is like routeWithout for a node with other settings.
+func routeConfigOf(t *testing.T, s settings.Node, names ...feature.Name) route.Config {
 	t.Helper()
 	var off []string
 	for _, name := range names {
@@ -25,7 +31,7 @@
 	}
 	set, err := feature.Parse(off)
 	require.NoError(t, err)
-	p := &Process{env: environment{settings: &settings.Node{DirectAddress: "127.0.0.1:1"}, features: set}}
+	p := &Process{env: environment{settings: &s, features: set}}
 	return *p.routeConfig()
 }
 
--- a/internal/node/learned.go
+++ b/internal/node/learned.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/feature"
 	"github.com/guavaford/guavaford/internal/gate"
 )
 
@@ -18,6 +19,11 @@
 	loggedLimitChange = 0.05
 )
 
+// learnsCapacity reports whether the settings ask for learned capacity and the feature isn't turned off.
+func (p *Process) learnsCapacity() bool {
+	return p.env.settings.LearnCapacity && p.env.features.On(feature.LearnedCapacity)
+}
+
 // learnedState is what was last logged of one target.
 type learnedState struct {
 	slow  bool
--- a/internal/node/learned_test.go
+++ b/internal/node/learned_test.go
@@ -6,17 +6,21 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/guavaford/guavaford/internal/feature"
+	"github.com/guavaford/guavaford/internal/settings"
 )
 
-// TestLearnedCapacityIsSwitchedOff guards against a switch that leaves a part of it on, or changes more.
+// TestLearnedCapacityIsSwitchedOff guards against learned capacity in a deployment whose settings don't ask for it, and
+// against a switch that leaves a part of it on, or changes more.
 func TestLearnedCapacityIsSwitchedOff(t *testing.T) {
-	on, off := routeWithout(t), routeWithout(t, feature.LearnedCapacity)
+	asked := settings.Node{DirectAddress: "127.0.0.1:1", LearnCapacity: true}
+	on, off := routeConfigOf(t, asked), routeConfigOf(t, asked, feature.LearnedCapacity)
 	require.True(t, on.LearnedCapacity)
 	require.False(t, off.LearnedCapacity)
+	require.Equal(t, routeWithout(t), off, "not asked for")
 	require.Equal(t, directSlowRatio, off.SlowRatio)
 	on.LearnedCapacity, on.SlowRatio = false, directSlowRatio
 	require.Equal(t, off, on)
-	require.Zero(t, routeWithout(t, feature.SlowTargets).SlowRatio, "also with learned capacity")
+	require.Zero(t, routeConfigOf(t, asked, feature.SlowTargets).SlowRatio, "also with learned capacity")
 }
 
 // TestChangesOfCapacityAreLoggedOnce guards against a line at every check while a target is slow, against lines
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -229,7 +229,7 @@
 	p.gate = gate.New(gate.Options{
 		KeyChecker: p.keyChecker,
 		Policies: policy.AdmissionResolver{Configuration: p.board.Configuration, EntryShedding: p.loadTracker != nil,
-			ColdExcess: s.ColdExcess, ColdSlack: s.ColdSlack, LearnLimit: p.env.features.On(feature.LearnedCapacity)},
+			ColdExcess: s.ColdExcess, ColdSlack: s.ColdSlack, LearnLimit: p.learnsCapacity()},
 		Handles:     handles,
 		CallIndex:   p.callIndex,
 		Clock:       p.env.Clock,
@@ -385,7 +385,7 @@
 	}
 	if p.direct != nil {
 		p.goRun("loads", func() error { p.logLoads(ctx); return nil })
-		if p.env.features.On(feature.LearnedCapacity) {
+		if p.learnsCapacity() {
 			p.goRun("capacities", func() error { p.logCapacities(ctx); return nil })
 		}
 		if p.env.features.On(feature.LoadExchange) {
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -32,6 +32,7 @@
 	flagAnnouncementTTL   = "announcement-ttl"
 	flagStopTimeout       = "stop-timeout"
 	flagLogLevel          = "log-level"
+	flagLearnCapacity     = "learn-capacity"
 	flagDisable           = "disable"
 )
 
@@ -59,6 +60,8 @@
 		n.duration(flagAnnouncementTTL, &n.AnnouncementTTL, "time without a renewal after which a target counts as gone"),
 		n.duration(flagStopTimeout, &n.StopTimeout, "longest time that a planned stop waits for running requests"),
 		text(flagLogLevel, &n.LogLevel, "debug, info, warn or error"),
+		&cli.BoolFlag{Name: flagLearnCapacity, Destination: &n.LearnCapacity, Value: n.LearnCapacity, Sources: source(flagLearnCapacity),
+			Usage: "divide calls among the targets of a service by what each is learned to handle well"},
 		list(flagDisable, &n.Disable, "features to turn off, separated by commas: "+strings.Join(feature.Names(), ", ")),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,8 @@
 	// MaxConnections is the number of callers' connections above which connections are closed after their next answer;
 	// 0 sets no limit.
 	MaxConnections int
+	// LearnCapacity divides calls among targets by what each is learned to handle well.
+	LearnCapacity bool
 	// Disable lists the names of features to turn off.
 	Disable []string
 	// MemoryLimit is the memory in bytes below which the process should stay; 0 sets no limit.
