Let no outcome of a refused body be unknown in its test

Cause: TestManyRefusedBodies passed with 2% of unknown outcomes, a bound from what was seen on a busy machine, and the comment of the memory test told measured values in place of its target.

Change: no unknown outcome is allowed; the memory bound names its target, half of the 184 MB of a process for 50 uploads.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -203,7 +203,6 @@
 						served++
 						assert.Equal(t, 1, ran, id)
 					case a.status == http.StatusBadGateway && strings.Contains(a.problem, `"ran":"unknown"`):
-						// On a machine that is late the connection between the nodes may count as silent.
 						unknown++
 						assert.LessOrEqual(t, ran, 1, id)
 					default:
@@ -222,7 +221,7 @@
 		wg.Wait()
 		t.Logf("%d served, %d refused as not run, %d unknown", served, refused, unknown)
 		require.Greater(t, served, requests/4)
-		require.LessOrEqual(t, unknown, requests/50)
+		require.Zero(t, unknown, "no connection between the nodes may be lost")
 	})
 }
 
--- a/internal/node/uploads_test.go
+++ b/internal/node/uploads_test.go
@@ -75,8 +75,8 @@
 func TestUploadsAreStreamedInBoundedMemory(t *testing.T) {
 	const uploads, size = 50, 8 << 20
 	// A body takes its buffered start and two parts of 32 KiB at the entry, and buffers of a part at both ends of an exchange.
-	// Between nodes most is the window of its stream, 256 KiB, in a buffer that grows to several times that. Both nodes together
-	// took 195 KiB (one) and 1,075 KiB (two) for each upload on an idle machine. The bound is a fifth of a body.
+	// Between nodes most is the window of its stream, 256 KiB, in a buffer that grows to several times that. The bound keeps
+	// 50 uploads below half of the 184 MB that a process may have.
 	const perUpload = 1536 << 10
 	for nodes := 1; nodes <= 2; nodes++ {
 		t.Run(fmt.Sprintf("through %d", nodes), func(t *testing.T) {
