Lock the log that the tests of draining targets read

Cause: TestQueuedRequestsLeaveATargetThatDrains reads a bytes.Buffer while a request that still ends may write a line to it.

Change: the log of these tests has a lock.

Measured: go test -race ./internal/gate -run TestQueuedRequests -count=10 passes; the product is unchanged.

--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -38,14 +38,32 @@
 	*fixture
 	policy   *drainPolicy
 	target   registry.Target
-	log      *bytes.Buffer
+	log      *lockedBuffer
 	arrivals atomic.Int64
 	leaving  atomic.Bool
 	release  func()
 }
 
+// lockedBuffer collects log lines of several goroutines.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all.String()
+}
+
 func newHeldTarget(t *testing.T, slots int) *heldTarget {
-	h, released := &heldTarget{policy: &drainPolicy{fixedPolicy: fixedPolicy{slots}}, log: &bytes.Buffer{}}, make(chan struct{})
+	h, released := &heldTarget{policy: &drainPolicy{fixedPolicy: fixedPolicy{slots}}, log: &lockedBuffer{}}, make(chan struct{})
 	h.release = sync.OnceFunc(func() { close(released) })
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		h.arrivals.Add(1)
