Count the start of an exchange as a sign of its peer

Callers saw: 502, "the connection to the node on the target's host failed", for a call that ran, in a fleet without any fault.

Cause: the dialling side of a connection pings only in intervals at whose end a call is in flight there; the accepting side expected a ping in each interval at whose end one runs here. With short calls the two looks disagree now and then, and after five times in a row the connection was closed as silent.

--- a/internal/peer/failure_test.go
+++ b/internal/peer/failure_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -261,3 +262,24 @@
 		require.NoError(t, answer.Body.Close())
 	})
 }
+
+// TestShortCallsKeepTheirConnection guards against a connection that the accepting side closes as silent, and a call that fails with it,
+// because the pings of the dialling side fall into intervals at whose ends no call was in flight there. Calls of up to 30 ms follow each
+// other with pauses of up to 30 ms for an hour.
+func TestShortCallsKeepTheirConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(41, 0))
+		pause := func() time.Duration { return time.Duration(random.Int64N(int64(30 * time.Millisecond))) }
+		var work time.Duration
+		f := newFixture(t, peer.ServerOptions{}, func(ctx context.Context, in *peer.IncomingCall) {
+			time.Sleep(work)
+			echo(ctx, in)
+		})
+		defer f.close()
+		for began := time.Now(); time.Since(began) < time.Hour; time.Sleep(pause()) {
+			work = pause()
+			require.NoError(t, f.roundTrip(context.Background(), 10), "after %v", time.Since(began))
+		}
+		require.EqualValues(t, 1, f.net.Traffic("a").Dials)
+	})
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -26,7 +26,8 @@
 	// openStreams counts the open streams, activeExchanges those of them that carry an exchange.
 	openStreams     atomic.Int64
 	activeExchanges atomic.Int64
-	pingsReceived   atomic.Uint64
+	// signs counts what only a peer that still works sends: pings and the starts of exchanges.
+	signs atomic.Uint64
 	// waiting is set while monitorPings waits on wake.
 	waiting atomic.Bool
 	wake    chan struct{}
@@ -140,7 +141,7 @@
 			return
 		}
 		if frame.Ping != 0 {
-			ss.pingsReceived.Add(1)
+			ss.signs.Add(1)
 			ss.control.Load().pong(frame.Ping)
 		}
 		if frame.Cancel != 0 {
@@ -187,12 +188,14 @@
 	}
 }
 
-// checkPings counts intervals without a ping. It returns true once none are expected,
-// and false when the connection has ended.
+// checkPings counts intervals without a sign of the peer. It returns true once none are expected,
+// and false when the connection has ended. The start of an exchange counts like a ping, since the peer sends
+// no ping in an interval at whose end none of its exchanges is in flight, while short ones may be seen here
+// at the end of each interval.
 func (ss *serverSession) checkPings() bool {
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
-	heard := ss.pingsReceived.Load()
+	heard := ss.signs.Load()
 	for quiet := 0; quiet < lostAfterMissed; {
 		select {
 		case <-ss.session.Done():
@@ -203,8 +206,8 @@
 			return true
 		}
 		quiet++
-		if pings := ss.pingsReceived.Load(); pings != heard {
-			heard = pings
+		if signs := ss.signs.Load(); signs != heard {
+			heard = signs
 			quiet = 0
 		}
 	}
@@ -305,6 +308,7 @@
 func (ss *serverSession) begin(number uint64, stream net.Conn) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ss.ctx)
 	ss.register(number, &runningExchange{stream: stream, cancel: cancel})
+	ss.signs.Add(1)
 	if ss.waiting.Load() {
 		ss.wakePingMonitor()
 	}
