Hold back the second replica of a first heartbeat

Cause: a first heartbeat is joined by one to the next replica after 1 s, but no delay was more than a quarter of the time left, 0.5 s. Replicas wait 0.8 s for a quorum while a fleet is founded, so that nodes got in touch with the founder in another data centre, which sent them each new placement.

Change: requests can state a least delay.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -238,6 +238,17 @@
 // node lacks; its response then has an error beside them. Only the replica that answered
 // last may hold its response back; from another one, the client wants to know first that it answers.
 func (c *Client) Sync(ctx context.Context, r *apiv1.SyncRequest) (*apiv1.SyncResponse, error) {
+	result, err := callReplicas(ctx, c, syncCall(r))
+	if err == nil {
+		unpackOwners(result.response)
+		c.UpdatePlacement(result.response.Placement)
+		c.setLocalAvailable(result.response.GetNearer())
+	}
+	return result.response, err
+}
+
+// syncCall returns how a heartbeat is sent to the replicas.
+func syncCall(r *apiv1.SyncRequest) clientCall[*apiv1.SyncResponse] {
 	call := clientCall[*apiv1.SyncResponse]{
 		method:     apiv1.Method_METHOD_SYNC,
 		request:    r,
@@ -251,15 +262,10 @@
 		call.request, call.held, call.holdTime = prompt, r, time.Duration(r.WaitNs)
 	}
 	if r.PlacementVersion == 0 {
-		call.hedgeDelay = firstSyncHedgeDelay
+		// The deadline of a heartbeat would halve the delay, and nodes would fetch all that changes from distant replicas meanwhile.
+		call.hedgeDelay, call.leastDelay = firstSyncHedgeDelay, firstSyncHedgeDelay
 	}
-	result, err := callReplicas(ctx, c, call)
-	if err == nil {
-		unpackOwners(result.response)
-		c.UpdatePlacement(result.response.Placement)
-		c.setLocalAvailable(result.response.GetNearer())
-	}
-	return result.response, err
+	return call
 }
 
 // hasNewConfiguration reports whether a response brings a node that is in touch changes of its configuration.
--- a/internal/control/frozen_test.go
+++ b/internal/control/frozen_test.go
@@ -288,3 +288,14 @@
 		require.NotEqual(t, lost[0], client.candidates(time.Now())[0])
 	})
 }
+
+// TestFirstHeartbeatWaitsForReplicasWithoutQuorum guards against nodes of a fleet that starts which fetch everything from distant
+// replicas, since those in their own data centre wait for a quorum for longer than the next replica is held back.
+func TestFirstHeartbeatWaitsForReplicasWithoutQuorum(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	first := replicaCall[*apiv1.SyncResponse]{clientCall: syncCall(&apiv1.SyncRequest{})}
+	require.Greater(t, first.delay(ctx), confirmTimeout)
+	inTouch := replicaCall[*apiv1.SyncResponse]{clientCall: syncCall(&apiv1.SyncRequest{PlacementVersion: 1})}
+	require.Equal(t, syncHedgeDelay, inTouch.delay(ctx))
+}
--- a/internal/control/hedge.go
+++ b/internal/control/hedge.go
@@ -52,6 +52,8 @@
 	timeout  time.Duration
 	// hedgeDelay is how long an attempt may take before the next replica is tried as well.
 	hedgeDelay time.Duration
+	// leastDelay is the least hedgeDelay when the deadline is near, if it is more than minHedgeDelay.
+	leastDelay time.Duration
 	accept     func(Resp) bool
 }
 
@@ -162,7 +164,7 @@
 	if !ok {
 		return r.hedgeDelay
 	}
-	return min(r.hedgeDelay, max(time.Until(deadline)/hedgesPerDeadline, minHedgeDelay))
+	return min(r.hedgeDelay, max(time.Until(deadline)/hedgesPerDeadline, minHedgeDelay, r.leastDelay))
 }
 
 // recordOverdue records the attempts that are late as failed, once another replica has answered.
