Check a configuration before it is sent

Cause: "guavaford check" found errors only, of the product's own documents, and didn't show what a configuration would change.

It sends no change and prints no keys.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,7 +2,8 @@
 //
 // There are three sorts of commands:
 //   - "node" and "platform" run a node; they differ in where its settings come from.
-//   - "check", "explain", "version" and "completion" work on local files or on nothing at all.
+//   - "check", "explain", "version" and "completion" work on local files or on nothing at all; "check" reads the version in
+//     force from a server where it is told to.
 //   - All others are clients of the HTTP API for operators (package operator).
 //
 // A configuration consists of documents, each with a kind, a name, labels and a spec. Its revision
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -42,8 +42,8 @@
 
 var exitMeanings = []exitMeaning{
 	{ExitOK, "done; for node: stopped as planned"},
-	{ExitFailure, "any other failure"},
-	{ExitUsage, "faulty command line or settings"},
+	{ExitFailure, "any other failure; for check: warnings or differences, with --strict"},
+	{ExitUsage, "faulty command line or settings; for check: errors in the files, or the version in force can't be read"},
 	{ExitInvalid, "the configuration is not or would not be valid; nothing was changed"},
 	{ExitConflict, "the expected revision is not the current one; nothing was changed"},
 	{ExitNotFound, "a document, key or drain does not exist"},
--- a/internal/cli/files.go
+++ b/internal/cli/files.go
@@ -18,26 +18,6 @@
 	"github.com/guavaford/guavaford/internal/operator"
 )
 
-// checkCommand validates the documents of files as one configuration, without a server.
-func checkCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "check",
-		Usage: "validate files as one whole configuration, without a server",
-		Flags: []cli.Flag{fileFlag()},
-		Action: func(_ context.Context, c *cli.Command) error {
-			source, err := readSources(c)
-			if err != nil {
-				return err
-			}
-			if problems := source.Locate(config.Check(source.Resources)); len(problems) > 0 {
-				return problemsError(problems)
-			}
-			_, err = fmt.Fprintf(c.Root().Writer, "%d documents, no problem\n", len(source.Resources))
-			return err
-		},
-	}
-}
-
 // applyCommand adds the documents of files to the configuration or replaces those of the same kind and name.
 func applyCommand() *cli.Command {
 	return &cli.Command{
@@ -132,7 +112,7 @@
 			return nil, err
 		}
 		for _, file := range files {
-			data, err := readFile(c.Root().Reader, file)
+			data, err := readFile(c.Root().Reader, file, operator.MaxBodyBytes)
 			if err != nil {
 				return nil, err
 			}
@@ -182,8 +162,8 @@
 	return files, nil
 }
 
-// readFile reads a file or standard input. Input that is larger than the body of a change may be is an error.
-func readFile(in io.Reader, path string) ([]byte, error) {
+// readFile reads a file or standard input. Input that is longer than limit is an error.
+func readFile(in io.Reader, path string, limit int64) ([]byte, error) {
 	if path != standardInput {
 		file, err := os.Open(path)
 		if err != nil {
@@ -192,12 +172,12 @@
 		defer func() { _ = file.Close() }()
 		in = file
 	}
-	data, err := io.ReadAll(io.LimitReader(in, operator.MaxBodyBytes+1))
+	data, err := io.ReadAll(io.LimitReader(in, limit+1))
 	if err != nil {
 		return nil, errors.Wrapf(err, "read %s", path)
 	}
-	if len(data) > operator.MaxBodyBytes {
-		return nil, invalidError("%s is longer than %d bytes", path, operator.MaxBodyBytes)
+	if int64(len(data)) > limit {
+		return nil, invalidError("%s is longer than %d bytes", path, limit)
 	}
 	return data, nil
 }
--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -77,7 +77,7 @@
 // there are no warnings then.
 func Check(in Input) []Finding {
 	if problems := config.Check(in.Resources); len(problems) > 0 {
-		return sortFindings(Errors(CodeConflict, problems))
+		return Sort(Errors(CodeConflict, problems))
 	}
 	c := &checker{Input: in, routes: map[string]*config.RouteSpec{}, unreached: map[string]bool{}}
 	if err := c.compile(); err != nil {
@@ -86,7 +86,7 @@
 	for _, check := range []func(){c.checkRoutes, c.checkClasses, c.checkSelectors, c.checkOrganisations, c.checkServices, c.checkPolicies, c.checkLimits, c.checkAttempts, c.checkRates} {
 		check()
 	}
-	return sortFindings(c.findings)
+	return Sort(c.findings)
 }
 
 // compile decodes the documents, sorted by name, and builds their snapshot.
--- a/internal/configcheck/diff.go
+++ b/internal/configcheck/diff.go
@@ -138,7 +138,10 @@
 		if len(own) == 0 {
 			return nil
 		}
-		text := fmt.Sprintf("%d keys", len(own))
+		text := "1 key"
+		if len(own) > 1 {
+			text = fmt.Sprintf("%d keys", len(own))
+		}
 		if n := len(slices.DeleteFunc(slices.Clone(own), func(d string) bool { return slices.Contains(other, d) })); n > 0 && len(other) > 0 {
 			text += fmt.Sprintf(", %d of them %s", n, what)
 		}
--- a/internal/configcheck/finding.go
+++ b/internal/configcheck/finding.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/guavaford/guavaford/internal/config"
 )
@@ -83,19 +84,18 @@
 
 // String returns "file:line: severity: code: kind/name: field: message", without the parts that are not known.
 func (f Finding) String() string {
-	entry := config.Problem{Kind: f.Kind, Name: f.Name, Field: f.Field, Message: f.Message}
-	if f.Row != nil {
-		entry.Name = fmt.Sprintf("%s (row %d)", f.Name, *f.Row)
+	position, entry := f.File, f.Kind
+	if f.File != "" && f.Line > 0 {
+		position = fmt.Sprintf("%s:%d", f.File, f.Line)
+	}
+	if f.Name != "" {
+		entry += "/" + f.Name
 	}
-	text := fmt.Sprintf("%s: %s: %s", f.Severity, f.Code, entry)
-	switch {
-	case f.File != "" && f.Line > 0:
-		return fmt.Sprintf("%s:%d: %s", f.File, f.Line, text)
-	case f.File != "":
-		return f.File + ": " + text
-	default:
-		return text
+	if f.Row != nil {
+		entry += fmt.Sprintf(" (row %d)", *f.Row)
 	}
+	parts := []string{position, string(f.Severity), string(f.Code), entry, f.Field, f.Message}
+	return strings.Join(slices.DeleteFunc(parts, func(part string) bool { return part == "" }), ": ")
 }
 
 // quoted matches values that messages of parsers and validators quote.
@@ -120,11 +120,11 @@
 	return found
 }
 
-// sortFindings sorts findings by severity, place and code.
-func sortFindings(all []Finding) []Finding {
+// Sort sorts findings in place by severity, position, place and code, and returns them.
+func Sort(all []Finding) []Finding {
 	slices.SortStableFunc(all, func(a, b Finding) int {
-		return cmp.Or(cmp.Compare(a.Severity, b.Severity), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name),
-			cmp.Compare(a.Field, b.Field), cmp.Compare(a.Code, b.Code))
+		return cmp.Or(cmp.Compare(a.Severity, b.Severity), cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Kind, b.Kind),
+			cmp.Compare(a.Name, b.Name), cmp.Compare(a.Field, b.Field), cmp.Compare(a.Code, b.Code))
 	})
 	return all
 }
@@ -139,3 +139,15 @@
 	}
 	return n
 }
+
+// Codes returns all codes.
+func Codes() []Code {
+	return []Code{
+		CodeUnreadable, CodeInvalid, CodeConflict,
+		CodeRouteShadowed, CodeRoutePartlyShadowed, CodeHostIgnored, CodeClassUnused, CodeSelectorContradiction, CodeOrganisationWithoutKey,
+		CodeOrganisationWithoutRoute, CodeRouteWithoutOrganisation, CodeServiceWithoutRoute, CodeServiceWithoutTargets, CodeServiceDrained,
+		CodeRouteWithoutTargets, CodePolicyWithoutTarget, CodePolicyOverridden, CodeHealthPathUnused,
+		CodeGoalAboveTimeout, CodeTimeoutBelowWork, CodeGoalBelowWork, CodeRateAboveTargets, CodeAttemptsBeyondTimeout, CodeAttemptsAboveLimit,
+		CodeAttemptsAboveTargets, CodeAttemptsAboveBudget, CodeSlotsAboveConnections,
+	}
+}
