Order bodies on the link between two nodes

Frames of all streams were sent in the order of their writes. Beside 50 uploads on a link of 5.6 Mbit/s a small call had a p99 of 1.2 to 1.7 s; pings waited as long, so connections counted as silent and uploads were lost.

Small frames now go before bodies. TCP_NOTSENT_LOWAT keeps what waits out of the kernel.

--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -44,6 +44,8 @@
 	ColdProbes Name = "cold-probes"
 	// SilentOwnerShares lets nodes spend their share of a rate while the owner of the rate does not respond.
 	SilentOwnerShares Name = "standing-rates"
+	// LinkSharing lets small frames go before bodies on the link between two nodes, and shares the link among bodies.
+	LinkSharing Name = "link-sharing"
 )
 
 // all lists the features with what each does, in the order of the help text.
@@ -64,6 +66,7 @@
 	{CrashQuarantine, "run requests that were in flight when targets crashed on trial, and refuse those that crash them"},
 	{ColdProbes, "ask targets with a cold rate every 250 ms whether they have become cold"},
 	{SilentOwnerShares, "spend the node's share of a rate while the owner of the rate does not respond"},
+	{LinkSharing, "send small frames before bodies between nodes, and share the link among bodies"},
 }
 
 // Set holds the disabled features. In the zero value all are enabled.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -112,6 +112,7 @@
 	pool      *peer.Pool
 	peers     *peer.Server
 	traffic   *peer.Traffic
+	linkStats *peer.LinkStats
 	local     *registry.Local
 	directory *registry.Directory
 	board     *board.Board
@@ -186,11 +187,16 @@
 	p.env.identity = peer.Identity{Node: s.Name, Incarnation: incarnation, DataCentre: s.DataCentre}
 	p.traffic = peer.NewTraffic(s.DataCentre)
 	p.operatorToken = secrets.operatorToken
+	p.linkStats = &peer.LinkStats{}
+	links := []peer.YamuxOption{peer.WithLinkStats(p.linkStats)}
+	if !p.env.features.On(feature.LinkSharing) {
+		links = append(links, peer.WithoutLinkSharing())
+	}
 	if p.transport = d.Transport; p.transport == nil && s.TrustedNetwork {
-		p.transport = peer.NewPlaintextYamux()
+		p.transport = peer.NewPlaintextYamux(links...)
 	}
 	if p.transport == nil {
-		if p.transport, err = peer.NewYamux(secrets.fleet); err != nil {
+		if p.transport, err = peer.NewYamux(secrets.fleet, links...); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/http"
 	"slices"
+	"sync/atomic"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/board"
@@ -50,6 +51,15 @@
 	return age.Milliseconds()
 }
 
+// setLinkGauges registers the gauges of the links to other nodes.
+func (p *Process) setLinkGauges() {
+	s := p.linkStats
+	for name, value := range map[string]*atomic.Int64{"link_body_chunks": &s.Chunks, "link_body_bytes": &s.ChunkBytes, "link_body_queued_bytes": &s.Queued,
+		"link_body_waits": &s.Waits} {
+		p.env.metrics.SetGauge(name, func() float64 { return float64(value.Load()) })
+	}
+}
+
 // publishMetrics registers the gauges and publishes all metrics through expvar.
 func (p *Process) publishMetrics() {
 	m := p.env.metrics
@@ -73,6 +83,7 @@
 	m.SetGauge("drained_targets", func() float64 { return float64(p.drainedTargets.Load()) })
 	m.SetGauge("learned_limit", p.learnedLimit)
 	m.SetGauge("target_slowdown", p.maxSlowdown)
+	p.setLinkGauges()
 	p.setControlGauges()
 	m.SetTraffic(p.Traffic)
 	m.Publish()
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/linkshare"
 	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
@@ -113,10 +115,20 @@
 		buf.release()
 		return errors.Wrap(err, "send header")
 	}
+	beginBody(x.stream, callClass(h), h.ContentLength)
 	go x.sendBody(buf, w, body)
 	return nil
 }
 
+// callClass returns what the bodies of a call are scheduled by.
+func callClass(h *apiv1.CallHeader) linkshare.Class {
+	class := linkshare.Class{Priority: h.GetPriority()}
+	if h.GetTimeoutNs() > 0 {
+		class.Deadline = time.Now().Add(time.Duration(h.GetTimeoutNs()))
+	}
+	return class
+}
+
 func (x *exchange) sendInline(buf *frameBuffer, w *bodyWriter, body *reqbody.Lease, length int) error {
 	defer func() { _ = body.Close() }()
 	scratch := scratchPool.Get().(*[]byte)
@@ -159,6 +171,8 @@
 		if err == nil && flushErr == nil {
 			continue
 		}
+		// Once the request counts as sent, another exchange may use the stream.
+		endBody(x.stream)
 		x.requestSent.Store(err == io.EOF && flushErr == nil)
 		return
 	}
--- a/internal/peer/incoming.go
+++ b/internal/peer/incoming.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/linkshare"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/reqbody"
 )
@@ -35,9 +36,11 @@
 	history *headerHistory
 	buf     *frameBuffer
 	// reader reads the body; while source is lent, only the holder of Body uses it. source is nil for an empty body.
-	reader   bodyReader
-	source   *reqbody.Body
-	out      bodyWriter
+	reader bodyReader
+	source *reqbody.Body
+	out    bodyWriter
+	// class is what the body of the answer is scheduled by.
+	class    linkshare.Class
 	answered bool
 	closed   bool
 	refused  bool
@@ -53,7 +56,7 @@
 )
 
 func (ss *serverSession) newIncoming(ctx context.Context, stream net.Conn, reader *bufio.Reader, header *apiv1.CallHeader) *IncomingCall {
-	in := &IncomingCall{Header: header, From: ss.remote, ctx: ctx, stream: stream, buf: newFrameBuffer()}
+	in := &IncomingCall{Header: header, From: ss.remote, ctx: ctx, stream: stream, buf: newFrameBuffer(), class: callClass(header)}
 	in.reader.reset(reader)
 	in.out.reset()
 	if header.GetContentLength() != 0 {
@@ -155,7 +158,11 @@
 	in.answered = true
 	in.refused = h.Refusal != nil
 	in.coalesce = in.refused || (h.ContentLength >= 0 && h.ContentLength <= inlineBodyBytes)
-	return in.buf.add(in.history.compressAnswer(h))
+	if err := in.buf.add(in.history.compressAnswer(h)); err != nil || in.coalesce {
+		return err
+	}
+	beginBody(in.stream, in.class, h.ContentLength)
+	return nil
 }
 
 // Write sends a part of the answer's body. It blocks while the caller's flow-control
@@ -208,7 +215,9 @@
 		return err
 	}
 	in.extendWriteDeadline()
-	if err := in.buf.flush(in.stream); err != nil {
+	err := in.buf.flush(in.stream)
+	endBody(in.stream)
+	if err != nil {
 		return in.writeError(err)
 	}
 	in.reuse = reuse
@@ -257,6 +266,7 @@
 		_ = in.Finish(0)
 	}
 	in.Abort()
+	endBody(in.stream)
 	in.buf.release()
 	in.buf = nil
 	if !in.reuse {
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/linkshare"
 )
 
 // MethodCount is the number of methods that Traffic counts separately.
@@ -127,3 +128,11 @@
 		b.Shrink()
 	}
 }
+
+// BeginBody announces a body; see scheduledStream.
+func (s *countedStream) BeginBody(class linkshare.Class, length int64) {
+	beginBody(s.Conn, class, length)
+}
+
+// EndBody announces the end of a body; see scheduledStream.
+func (s *countedStream) EndBody() { endBody(s.Conn) }
--- a/internal/peer/yamux.go
+++ b/internal/peer/yamux.go
@@ -17,30 +17,50 @@
 	tls    *tls.Config
 	yamux  *yamux.Config
 	dialer net.Dialer
+	// stats is nil if bodies are not scheduled.
+	stats *LinkStats
+}
+
+// YamuxOption changes the transport of a running node.
+type YamuxOption func(*yamuxTransport)
+
+// WithLinkStats counts what the scheduler of the links does.
+func WithLinkStats(stats *LinkStats) YamuxOption {
+	return func(t *yamuxTransport) { t.stats = stats }
+}
+
+// WithoutLinkSharing sends the frames of all streams in the order in which they are written. It takes precedence over the options before it.
+func WithoutLinkSharing() YamuxOption {
+	return func(t *yamuxTransport) { t.stats = nil }
 }
 
 // NewYamux returns the transport of a running node. Both sides of a session
 // prove to each other that they hold secret. It fails if secret is too short.
-func NewYamux(secret []byte) (Transport, error) {
+func NewYamux(secret []byte, options ...YamuxOption) (Transport, error) {
 	tlsConfig, err := newTLSConfig(secret)
 	if err != nil {
 		return nil, err
 	}
-	return newYamuxTransport(tlsConfig), nil
+	return newYamuxTransport(tlsConfig, options), nil
 }
 
 // NewPlaintextYamux returns a transport without encryption and authentication, for a network that only
 // nodes can reach.
-func NewPlaintextYamux() Transport {
-	return newYamuxTransport(nil)
+func NewPlaintextYamux(options ...YamuxOption) Transport {
+	return newYamuxTransport(nil, options)
 }
 
-func newYamuxTransport(secure *tls.Config) *yamuxTransport {
-	return &yamuxTransport{
+func newYamuxTransport(secure *tls.Config, options []YamuxOption) *yamuxTransport {
+	t := &yamuxTransport{
 		tls:    secure,
 		yamux:  newYamuxConfig(),
 		dialer: net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Minute}},
+		stats:  &LinkStats{},
+	}
+	for _, option := range options {
+		option(t)
 	}
+	return t
 }
 
 // server wraps an accepted connection in TLS, if enabled.
@@ -83,7 +103,7 @@
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "authenticate")
 	}
-	session, err := newYamuxSession(yamux.Client, raw, conn, t.yamux)
+	session, err := newYamuxSession(yamux.Client, raw, conn, t.yamux, t.stats)
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "start session")
@@ -111,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := newYamuxSession(yamux.Server, raw, l.transport.server(raw), l.transport.yamux)
+	session, err := newYamuxSession(yamux.Server, raw, l.transport.server(raw), l.transport.yamux, l.transport.stats)
 	if err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "start session")
--- a/internal/peer/yamuxsession.go
+++ b/internal/peer/yamuxsession.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
-	"github.com/pkg/errors"
 )
 
 // yamuxSession is a Session over yamux.
@@ -18,6 +17,7 @@
 type yamuxSession struct {
 	session *yamux.Session
 	raw     net.Conn
+	link    *linkConn
 
 	mu sync.Mutex
 	// streams are the open streams; nil once the session has ended.
@@ -25,11 +25,15 @@
 	ended   bool
 }
 
-// newYamuxSession starts a session on conn, which runs over the connection raw.
-func newYamuxSession(start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error), raw, conn net.Conn, config *yamux.Config) (*yamuxSession, error) {
-	s := &yamuxSession{raw: raw, streams: make(map[*yamuxStream]struct{})}
-	session, err := start(&closeNotifyingConn{Conn: newBatchConn(conn), onClose: s.end}, config)
+// newYamuxSession starts a session on conn, which runs over the connection raw. stats is nil if bodies are not scheduled.
+func newYamuxSession(start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error), raw, conn net.Conn, config *yamux.Config, stats *LinkStats) (*yamuxSession, error) {
+	if stats != nil {
+		limitUnsent(raw)
+	}
+	s := &yamuxSession{raw: raw, link: newLinkConn(conn, stats), streams: make(map[*yamuxStream]struct{})}
+	session, err := start(&closeNotifyingConn{Conn: s.link, onClose: s.end}, config)
 	if err != nil {
+		_ = s.link.Close()
 		return nil, err
 	}
 	s.session = session
@@ -61,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &yamuxStream{Stream: stream, session: s}
+	t := newYamuxStream(stream, s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
@@ -96,50 +100,3 @@
 }
 
 func (s *yamuxSession) Done() <-chan struct{} { return s.session.CloseChan() }
-
-// yamuxStream is a stream whose reads end with its session.
-type yamuxStream struct {
-	*yamux.Stream
-	session *yamuxSession
-}
-
-// Read reads from the stream. It returns io.EOF once the session has ended.
-func (t *yamuxStream) Read(p []byte) (int, error) {
-	n, err := t.Stream.Read(p)
-	if errors.Is(err, yamux.ErrTimeout) && t.sessionEnded() {
-		return n, io.EOF
-	}
-	return n, err
-}
-
-func (t *yamuxStream) sessionEnded() bool {
-	t.session.mu.Lock()
-	defer t.session.mu.Unlock()
-	return t.session.ended
-}
-
-// Close closes the stream.
-func (t *yamuxStream) Close() error {
-	t.session.mu.Lock()
-	delete(t.session.streams, t)
-	t.session.mu.Unlock()
-	return t.Stream.Close()
-}
-
-// SetDeadline sets the deadlines of reads and writes. Reads that end with the session keep theirs.
-func (t *yamuxStream) SetDeadline(deadline time.Time) error {
-	if err := t.SetReadDeadline(deadline); err != nil {
-		return err
-	}
-	return t.SetWriteDeadline(deadline)
-}
-
-// SetReadDeadline sets the deadline of reads, unless they end with the session.
-func (t *yamuxStream) SetReadDeadline(deadline time.Time) error {
-	t.session.mu.Lock()
-	defer t.session.mu.Unlock()
-	if t.session.ended {
-		return nil
-	}
-	return t.Stream.SetReadDeadline(deadline)
-}
--- a/internal/peer/yamuxsession_test.go
+++ b/internal/peer/yamuxsession_test.go
@@ -29,7 +29,7 @@
 	defer far.Close()
 	go func() { _, _ = io.Copy(io.Discard, far) }()
 	conn := &stuckConn{Conn: near, released: make(chan struct{})}
-	session, err := newYamuxSession(yamux.Client, conn, conn, newYamuxConfig())
+	session, err := newYamuxSession(yamux.Client, conn, conn, newYamuxConfig(), &LinkStats{})
 	require.NoError(t, err)
 	stream, err := session.Open(context.Background())
 	require.NoError(t, err)
