Refuse bodies that can't arrive in time before they are sent

Bodies that could not arrive before the end of their call were sent all the same and took the link from others.

A connection measures its rate from the writes of the last 2 s, without messages. If a body is too late behind those that are due before it, the call is not sent: the request goes to another target, or ends with the new refusal link-too-slow (503, not run) and a Retry-After.

--- a/internal/dispatch/bounded.go
+++ b/internal/dispatch/bounded.go
@@ -44,6 +44,7 @@
 		answer := c.attemptBuffered(ctx, choice)
 		refusal = answer.Refusal()
 		if c.moveOn(ctx, choice, refusal) {
+			last = lastAfterMove(last, answer)
 			continue
 		}
 		c.logAttempt(choice, refusal)
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -67,6 +67,7 @@
 		answer := c.attempt(ctx, choice)
 		refusal = answer.Refusal()
 		if c.moveOn(ctx, choice, refusal) {
+			last = lastAfterMove(last, answer)
 			continue
 		}
 		if c.redirect(refusal) || c.refusedByCold(answer, refusal) {
@@ -346,8 +347,8 @@
 		return route.Failure
 	case refusal == nil:
 		return route.Success
-	case refusal.Code == outcome.Cancelled || refusal.Code == outcome.Suspected || refusal.Code == outcome.Quarantined:
-		// The last two say nothing about the target either.
+	case refusal.Code == outcome.Cancelled || refusal.Code == outcome.Suspected || refusal.Code == outcome.Quarantined || refusal.Code == outcome.LinkTooSlow:
+		// The last three say nothing about the target either.
 		return route.Cancelled
 	case refusal.Code == outcome.DeadlineExceeded && refusal.Ran != outcome.RanNo:
 		return route.TimedOut
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -6,16 +6,17 @@
 	"sync/atomic"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/gate"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/registry"
 	"github.com/guavaford/guavaford/internal/route"
 )
 
 // moveOn reports whether the request goes on to another target at once since its target took no new work before it got the request: it
-// drains, was removed or replaced, or this node has ejected it and withdrew the request. That attempt counts neither as one nor as a repeat,
+// drains, was removed or replaced, or this node has ejected it and withdrew the request; or since the body can't reach its host in time. That attempt counts neither as one nor as a repeat,
 // whether the request was queued there or came too late. As each target is tried once, their number bounds the moves.
 func (c *call) moveOn(ctx context.Context, choice route.Choice, r *outcome.Refusal) bool {
-	if r == nil || r.Code != outcome.TargetLeaving && !c.withdrawn || r.Ran != outcome.RanNo || r.Reached || r.Retried {
+	if r == nil || r.Code != outcome.TargetLeaving && r.Code != outcome.LinkTooSlow && !c.withdrawn || r.Ran != outcome.RanNo || r.Reached || r.Retried {
 		return false
 	}
 	left := c.request.Origin.Deadline.Sub(c.dispatcher.o.Clock.Now())
@@ -32,6 +33,15 @@
 	return true
 }
 
+// lastAfterMove returns the answer that the caller gets if no target is left after a move: that of a body that can't arrive in time gives the
+// reason, while all other moves leave it to the choice of targets.
+func lastAfterMove(last, moved *gate.Answer) *gate.Answer {
+	if last == nil && moved.Refusal().Code == outcome.LinkTooSlow {
+		return moved
+	}
+	return last
+}
+
 // logMove logs that a request goes on to another target, at a limited rate.
 func (c *call) logMove(choice route.Choice, r *outcome.Refusal) {
 	d := c.dispatcher
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -27,6 +27,14 @@
 // recoverAttempt returns the answer of an attempt whose connection failed before the header of the answer arrived.
 func (c *call) recoverAttempt(ctx context.Context, target *registry.Target, h *apiv1.CallHeader, err error) *gate.Answer {
 	d := c.dispatcher
+	var late *peer.LateBodyError
+	if errors.As(err, &late) {
+		if leftOut, ok := d.o.LogLimiter.Allow(d.o.Clock.Now()); ok {
+			d.o.Log.Info("body not sent as it can't arrive in time", "request", h.GetRequestId(), "target", target.ID(), "length", late.Length,
+				"remaining", late.Verdict.Remaining, "ahead", late.Verdict.Ahead, "bytes_per_second", int64(late.Verdict.Rate), "left_out", leftOut)
+		}
+		return c.refusalAnswer(h, outcome.NotRun(outcome.LinkTooSlow, late.Verdict.RetryAfter(), "the body can't arrive at the target's host in time"))
+	}
 	if leftOut, ok := d.o.LogLimiter.Allow(d.o.Clock.Now()); ok {
 		d.o.Log.Warn("connection of an attempt failed", "request", h.GetRequestId(), "target", target.ID(), "err", err, "left_out", leftOut)
 	}
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -46,6 +46,8 @@
 	SilentOwnerShares Name = "standing-rates"
 	// LinkSharing lets small frames go before bodies on the link between two nodes, and shares the link among bodies.
 	LinkSharing Name = "link-sharing"
+	// LateBodies refuses bodies that can't arrive in time before they are sent to another node. It needs LinkSharing.
+	LateBodies Name = "late-bodies"
 )
 
 // all lists the features with what each does, in the order of the help text.
@@ -67,6 +69,7 @@
 	{ColdProbes, "ask targets with a cold rate every 250 ms whether they have become cold"},
 	{SilentOwnerShares, "spend the node's share of a rate while the owner of the rate does not respond"},
 	{LinkSharing, "send small frames before bodies between nodes, and share the link among bodies"},
+	{LateBodies, "refuse bodies that can't arrive in time at the node beside their target (needs link-sharing)"},
 }
 
 // Set holds the disabled features. In the zero value all are enabled.
--- a/internal/linkshare/schedule.go
+++ b/internal/linkshare/schedule.go
@@ -20,6 +20,9 @@
 	shortInterval = 4
 	// unknownLength is the length that counts for a body of unknown length.
 	unknownLength = 256 << 10
+
+	// activeTime is how long a stream without queued bytes still counts as one that sends: its writer prepares the next chunk.
+	activeTime = 250 * time.Millisecond
 )
 
 // Class describes the call that a body belongs to.
@@ -49,10 +52,22 @@
 	// chunks are the queued bytes in the order of the stream.
 	chunks [][]byte
 	queued int
+	// sent is the number of bytes that were taken.
+	sent int64
 	// open is true between Begin and End.
 	open bool
 	// length is the length of the body, or unknownLength.
 	length int64
+	// active is when the body began or its last chunk was taken.
+	active time.Time
+}
+
+// left returns the number of bytes that are still to be sent.
+func (f *flow) left() int64 {
+	if !f.open {
+		return int64(f.queued)
+	}
+	return max(f.length-f.sent, int64(f.queued))
 }
 
 // before reports whether a body is sent before another.
@@ -84,7 +99,7 @@
 		length = unknownLength
 	}
 	f := s.flow(stream)
-	f.due, f.length, f.open = class.due(now), length, true
+	f.due, f.length, f.open, f.active, f.sent = class.due(now), length, true, now, 0
 }
 
 // End announces the end of a stream's body. What is queued of it remains.
@@ -138,7 +153,7 @@
 func (s *Schedule) Queued() int { return s.queued }
 
 // Next removes the chunk that is to be sent next and returns it with its stream, or false if none is queued.
-func (s *Schedule) Next() (stream uint32, chunk []byte, ok bool) {
+func (s *Schedule) Next(now time.Time) (stream uint32, chunk []byte, ok bool) {
 	var next *flow
 	shortest := s.taken%shortInterval == shortInterval-1
 	for id, f := range s.flows {
@@ -155,6 +170,8 @@
 	next.chunks = next.chunks[1:]
 	next.queued -= len(chunk)
 	s.queued -= len(chunk)
+	next.sent += int64(len(chunk))
+	next.active = now
 	if next.queued == 0 {
 		next.chunks = nil
 		if !next.open {
@@ -163,3 +180,22 @@
 	}
 	return stream, chunk, true
 }
+
+// Ahead estimates how many bytes of other bodies are sent before the last byte of a new one of a length: all of those that are due before, and
+// of the others what the chunks for short bodies can give them meanwhile.
+func (s *Schedule) Ahead(now time.Time, class Class, length int64) int64 {
+	due := class.due(now)
+	before, after := int64(0), int64(0)
+	for _, f := range s.flows {
+		if f.queued == 0 && now.Sub(f.active) > activeTime {
+			// The body waits for its caller or its receiver and takes nothing of the link.
+			continue
+		}
+		if f.due.After(due) {
+			after += f.left()
+		} else {
+			before += f.left()
+		}
+	}
+	return before + min(after, (before+length)/(shortInterval-1))
+}
--- a/internal/linkshare/schedule_test.go
+++ b/internal/linkshare/schedule_test.go
@@ -20,13 +20,15 @@
 	sent     int
 	began    time.Time
 	finished time.Time
+	refused  bool
 }
 
-// link is a writer that carries rate bytes per second, in virtual time.
+// link is a writer that carries rate bytes per second, in virtual time, and nothing while stalled.
 type link struct {
 	now      time.Time
 	rate     float64
 	schedule *Schedule
+	meter    Meter
 	uploads  map[uint32]*upload
 	small    int
 	smallAt  time.Time
@@ -38,9 +40,13 @@
 	return &link{now: epoch, rate: rate, schedule: NewSchedule(), uploads: map[uint32]*upload{}}
 }
 
-// begin starts an upload.
+// begin starts an upload unless it can't arrive in time.
 func (l *link) begin(id uint32, class Class, length int) *upload {
 	u := &upload{class: class, length: length, began: l.now}
+	if Judge(l.now, l.schedule, &l.meter, class, int64(length), l.small).TooLate {
+		u.refused = true
+		return u
+	}
 	l.uploads[id] = u
 	l.schedule.Begin(l.now, id, class, int64(length))
 	l.fill(id)
@@ -64,12 +70,14 @@
 	n, id, isBody := l.small, uint32(0), false
 	if n == 0 {
 		var chunk []byte
-		if id, chunk, isBody = l.schedule.Next(); !isBody {
+		if id, chunk, isBody = l.schedule.Next(l.now); !isBody {
 			return false
 		}
 		n = len(chunk)
 	}
+	l.meter.Begin(l.now)
 	l.now = l.now.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+	l.meter.End(l.now, n)
 	if !isBody {
 		l.waits = append(l.waits, l.now.Sub(l.smallAt))
 		l.small = 0
@@ -165,7 +173,7 @@
 				s.Push(id, append(chunk, bytes.Repeat([]byte{1}, rnd.IntN(ChunkBytes-8))...))
 			}
 		default:
-			stream, chunk, ok := s.Next()
+			stream, chunk, ok := s.Next(now)
 			if ok {
 				require.Equal(t, want[stream], binary.BigEndian.Uint32(chunk))
 				want[stream]++
@@ -174,7 +182,7 @@
 		require.LessOrEqual(t, s.Queued(), TotalBytes+ChunkBytes)
 	}
 	for {
-		stream, _, ok := s.Next()
+		stream, _, ok := s.Next(now)
 		if !ok {
 			break
 		}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -200,7 +200,7 @@
 			return nil, err
 		}
 	}
-	p.pool = peer.NewPool(p.env.identity, p.transport, peer.PoolOptions{Traffic: p.traffic})
+	p.pool = peer.NewPool(p.env.identity, p.transport, peer.PoolOptions{Traffic: p.traffic, SendLateBodies: !p.env.features.On(feature.LateBodies)})
 	p.peers = peer.NewServer(p.env.identity, peer.ServerOptions{Traffic: p.traffic})
 	p.local = registry.NewLocal(registry.LocalOptions{
 		Node:        s.Name,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -55,7 +55,7 @@
 func (p *Process) setLinkGauges() {
 	s := p.linkStats
 	for name, value := range map[string]*atomic.Int64{"link_body_chunks": &s.Chunks, "link_body_bytes": &s.ChunkBytes, "link_body_queued_bytes": &s.Queued,
-		"link_body_waits": &s.Waits} {
+		"link_body_waits": &s.Waits, "link_bodies_refused": &s.Refused} {
 		p.env.metrics.SetGauge(name, func() float64 { return float64(value.Load()) })
 	}
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -60,6 +60,7 @@
 	Suspected             Code = "request-suspected"
 	Quarantined           Code = "request-quarantined"
 	AnswersFull           Code = "answers-full"
+	LinkTooSlow           Code = "link-too-slow"
 )
 
 // entry holds the HTTP status and the title of a refusal code.
@@ -100,6 +101,7 @@
 	Suspected:             {http.StatusServiceUnavailable, "The request waits for a trial"},
 	Quarantined:           {http.StatusServiceUnavailable, "The request crashes the targets that run it"},
 	AnswersFull:           {http.StatusServiceUnavailable, "No room to keep another answer"},
+	LinkTooSlow:           {http.StatusServiceUnavailable, "The body can't arrive in time"},
 	RepeatRefused:         {http.StatusServiceUnavailable, "No further attempt of the request is allowed"},
 }
 
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -40,7 +40,15 @@
 // error is a *CallError; body may be nil. The body is returned when nothing more of it
 // is sent, at the latest after the end of the exchange; one that was not read need not be.
 func (p *Pool) Call(ctx context.Context, address string, h *apiv1.CallHeader, body *reqbody.Lease) (*Answer, error) {
-	x, err := p.openExchange(ctx, address, apiv1.Method_METHOD_CALL, maxConnectWait)
+	c, err := p.reserve(ctx, address, maxConnectWait)
+	if err != nil {
+		return nil, &CallError{Address: address, Err: err}
+	}
+	if late := p.lateBody(c, h); late != nil {
+		c.end()
+		return nil, &CallError{Address: address, Err: late}
+	}
+	x, err := c.openExchange(ctx, address, apiv1.Method_METHOD_CALL)
 	if err != nil {
 		return nil, err
 	}
@@ -120,6 +128,19 @@
 	return nil
 }
 
+// lateBody returns an error if the body of a call can't arrive in time over a connection.
+func (p *Pool) lateBody(c *conn, h *apiv1.CallHeader) *LateBodyError {
+	link, ok := c.session.(bodyJudge)
+	if !ok || p.sendLateBodies || h.GetContentLength() <= inlineBodyBytes {
+		return nil
+	}
+	verdict := link.judgeBody(callClass(h), h.GetContentLength())
+	if !verdict.TooLate {
+		return nil
+	}
+	return &LateBodyError{Length: h.GetContentLength(), Verdict: verdict}
+}
+
 // callClass returns what the bodies of a call are scheduled by.
 func callClass(h *apiv1.CallHeader) linkshare.Class {
 	class := linkshare.Class{Priority: h.GetPriority()}
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/guavaford/guavaford/internal/linkshare"
 )
 
 var (
@@ -44,6 +47,20 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
+// LateBodyError says that the body of a call would arrive after the end of the call's time, so that nothing of the call was sent.
+type LateBodyError struct {
+	// Length is the length of the body in bytes.
+	Length int64
+	// Verdict is what was estimated.
+	Verdict linkshare.Verdict
+}
+
+// Error describes the estimate.
+func (e *LateBodyError) Error() string {
+	return fmt.Sprintf("a body of %d bytes can't arrive in %v behind %d bytes at %.0f bytes per second", e.Length, e.Verdict.Remaining.Round(time.Millisecond),
+		e.Verdict.Ahead, e.Verdict.Rate)
+}
+
 // RemoteError is an error that the handler at the remote node returned.
 type RemoteError struct {
 	Text string
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -38,6 +38,11 @@
 	if err != nil {
 		return nil, &CallError{Address: address, Err: err}
 	}
+	return c.openExchange(ctx, address, m)
+}
+
+// openExchange opens a stream on a connection that was reserved for the exchange.
+func (c *conn) openExchange(ctx context.Context, address string, m apiv1.Method) (*exchange, error) {
 	stream, err := c.openStream(ctx)
 	if err != nil {
 		c.end()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -42,6 +42,8 @@
 	Queued atomic.Int64
 	// Waits counts the writes of body parts that had to wait for room.
 	Waits atomic.Int64
+	// Refused counts the bodies that were refused as they could not arrive in time.
+	Refused atomic.Int64
 }
 
 // batchPool holds the buffers of batches. A connection holds none while its queue is empty.
@@ -67,6 +69,9 @@
 	pending *[]byte
 	// schedule holds the bodies; it is nil if they are sent in the order of the writes.
 	schedule *linkshare.Schedule
+	meter    linkshare.Meter
+	// writing is the number of bytes of small frames in the write under way.
+	writing int
 	// header is the header of a data frame whose payload yamux passes in the next Write, if split is true.
 	header [yamuxHeaderBytes]byte
 	split  bool
@@ -209,10 +214,12 @@
 		var err error
 		if batch != nil {
 			_, err = l.Conn.Write(*batch)
+			l.wrote(len(*batch))
 			*batch = (*batch)[:0]
 			batchPool.Put(batch)
 		} else {
 			_, err = l.Conn.Write(chunk)
+			l.wrote(len(chunk))
 			chunkPool.Put((*[yamuxHeaderBytes + linkshare.ChunkBytes]byte)(chunk[:cap(chunk)]))
 		}
 		if err != nil {
@@ -228,13 +235,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.err == nil {
+		now := time.Now()
 		if batch = l.pending; batch != nil {
 			l.pending = nil
+			l.writing = len(*batch)
+			l.meter.Begin(now)
 			l.drained.Broadcast()
 			return batch, nil
 		}
 		if l.schedule != nil {
-			if stream, chunk, ok := l.schedule.Next(); ok {
+			if stream, chunk, ok := l.schedule.Next(now); ok {
+				l.meter.Begin(now)
 				l.took(stream, len(chunk))
 				return nil, chunk
 			}
@@ -262,6 +273,14 @@
 	}
 }
 
+// wrote records the end of a write of n bytes.
+func (l *linkConn) wrote(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writing = 0
+	l.meter.End(time.Now(), n)
+}
+
 // schedules reports whether bodies are sent in turn.
 func (l *linkConn) schedules() bool { return l.stats != nil }
 
@@ -299,3 +318,17 @@
 	defer l.mu.Unlock()
 	delete(l.waiters, t.StreamID())
 }
+
+// judge estimates whether a body that is sent now arrives in time.
+func (l *linkConn) judge(class linkshare.Class, length int64) linkshare.Verdict {
+	if !l.schedules() {
+		return linkshare.Verdict{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	small := l.writing
+	if l.pending != nil {
+		small += len(*l.pending)
+	}
+	return linkshare.Judge(time.Now(), l.schedule, &l.meter, class, length, small)
+}
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
@@ -158,7 +159,7 @@
 }
 
 // startSlow returns a pool whose connections are slow and the address of a server that reads all bodies.
-func startSlow(t *testing.T, rate int, transport *yamuxTransport) (*Pool, string) {
+func startSlow(t *testing.T, rate int, options PoolOptions, transport *yamuxTransport) (*Pool, string) {
 	listener, err := transport.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	server := NewServer(Identity{Node: "b", Incarnation: 2}, ServerOptions{})
@@ -173,7 +174,7 @@
 	})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
-	pool := NewPool(Identity{Node: "a", Incarnation: 1}, &slowTransport{yamuxTransport: transport, rate: rate}, PoolOptions{Seed: 1})
+	pool := NewPool(Identity{Node: "a", Incarnation: 1}, &slowTransport{yamuxTransport: transport, rate: rate}, options)
 	t.Cleanup(func() {
 		pool.Close()
 		server.Close()
@@ -200,7 +201,7 @@
 // counts as silent for that: the uploads take 4.3 s.
 func TestSmallCallsBesideUploadsOnANarrowedLink(t *testing.T) {
 	transport := newYamuxTransport(nil, nil)
-	pool, address := startSlow(t, 700_000, transport)
+	pool, address := startSlow(t, 700_000, PoolOptions{Seed: 1}, transport)
 	var uploads sync.WaitGroup
 	failed := make(chan error, 50)
 	for i := range uint64(50) {
@@ -222,6 +223,36 @@
 	require.Zero(t, transport.stats.Queued.Load())
 }
 
+// TestBodyThatCantArriveInTimeIsNotSent guards against a body that is sent although it can't arrive in time, and against a call that counts as sent then.
+func TestBodyThatCantArriveInTimeIsNotSent(t *testing.T) {
+	for _, disabled := range []bool{false, true} {
+		transport := newYamuxTransport(nil, nil)
+		pool, address := startSlow(t, 700_000, PoolOptions{Seed: 1, SendLateBodies: disabled}, transport)
+		ctx, cancel := context.WithCancel(t.Context())
+		var uploads sync.WaitGroup
+		for i := range uint64(20) {
+			uploads.Go(func() { _, _ = upload(ctx, pool, address, i+1, 600_000, 20*time.Second) })
+		}
+		time.Sleep(700 * time.Millisecond)
+		late, stop := context.WithTimeout(ctx, time.Second)
+		_, err := upload(late, pool, address, 100, 20_000_000, time.Second)
+		stop()
+		var callErr *CallError
+		require.ErrorAs(t, err, &callErr)
+		var body *LateBodyError
+		require.Equal(t, !disabled, errors.As(err, &body))
+		require.Equal(t, disabled, callErr.Sent)
+		if !disabled {
+			require.EqualValues(t, 1, transport.stats.Refused.Load())
+			require.Positive(t, body.Verdict.RetryAfter())
+			_, err = upload(ctx, pool, address, 101, 100, 5*time.Second)
+			require.NoError(t, err, "small bodies are sent")
+		}
+		cancel()
+		uploads.Wait()
+	}
+}
+
 // TestWriterThatWaitsForRoomIsInterrupted guards against a body that is written on after its deadline, or after its stream was closed.
 func TestWriterThatWaitsForRoomIsInterrupted(t *testing.T) {
 	for name, interrupt := range map[string]func(net.Conn) error{
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -18,6 +18,8 @@
 	Seed uint64
 	// Traffic counts exchanges and bytes; nil disables counting.
 	Traffic *Traffic
+	// SendLateBodies sends bodies that can't arrive in time over a connection, instead of failing with a LateBodyError.
+	SendLateBodies bool
 	// Intercept, if set, is called for each unary exchange and runs it by calling do. Tests
 	// use it to drop, delay and repeat messages.
 	Intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
@@ -30,6 +32,8 @@
 	intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
 	traffic   *Traffic
 
+	sendLateBodies bool
+
 	// ctx ends when the pool is closed.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -76,6 +80,9 @@
 		transport: t,
 		intercept: o.Intercept,
 		traffic:   o.Traffic,
+
+		sendLateBodies: o.SendLateBodies,
+
 		endpoints: make(map[string]*endpoint),
 		rnd:       rand.New(rand.NewPCG(seed, seed)),
 	}
--- a/internal/peer/yamuxsession.go
+++ b/internal/peer/yamuxsession.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/guavaford/guavaford/internal/linkshare"
 )
 
 // yamuxSession is a Session over yamux.
@@ -99,4 +101,18 @@
 	return err
 }
 
+// bodyJudge is a session that estimates whether a body arrives in time.
+type bodyJudge interface {
+	judgeBody(class linkshare.Class, length int64) linkshare.Verdict
+}
+
+// judgeBody estimates whether a body that is sent now arrives in time, and counts it if not.
+func (s *yamuxSession) judgeBody(class linkshare.Class, length int64) linkshare.Verdict {
+	verdict := s.link.judge(class, length)
+	if verdict.TooLate {
+		s.link.stats.Refused.Add(1)
+	}
+	return verdict
+}
+
 func (s *yamuxSession) Done() <-chan struct{} { return s.session.CloseChan() }
