--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/linkshare"
 	"github.com/guavaford/guavaford/internal/reqbody"
 )
 
@@ -38,7 +40,15 @@
 // error is a *CallError; body may be nil. The body is returned when nothing more of it
 // is sent, at the latest after the end of the exchange; one that was not read need not be.
 func (p *Pool) Call(ctx context.Context, address string, h *apiv1.CallHeader, body *reqbody.Lease) (*Answer, error) {
-	x, err := p.openExchange(ctx, address, apiv1.Method_METHOD_CALL, maxConnectWait)
+	c, err := p.reserve(ctx, address, maxConnectWait)
+	if err != nil {
+		return nil, &CallError{Address: address, Err: err}
+	}
+	if late := p.lateBody(c, h); late != nil {
+		c.end()
+		return nil, &CallError{Address: address, Err: late}
+	}
+	x, err := c.openExchange(ctx, address, apiv1.Method_METHOD_CALL)
 	if err != nil {
 		return nil, err
 	}
@@ -113,10 +123,33 @@
 		buf.release()
 		return errors.Wrap(err, "send header")
 	}
+	beginBody(x.stream, callClass(h), h.ContentLength)
 	go x.sendBody(buf, w, body)
 	return nil
 }
 
+// lateBody returns an error if the body of a call can't arrive in time over a connection.
+func (p *Pool) lateBody(c *conn, h *apiv1.CallHeader) *LateBodyError {
+	link, ok := c.session.(bodyJudge)
+	if !ok || p.sendLateBodies || h.GetContentLength() <= inlineBodyBytes {
+		return nil
+	}
+	verdict := link.judgeBody(callClass(h), h.GetContentLength())
+	if !verdict.TooLate {
+		return nil
+	}
+	return &LateBodyError{Length: h.GetContentLength(), Verdict: verdict}
+}
+
+// callClass returns what the bodies of a call are scheduled by.
+func callClass(h *apiv1.CallHeader) linkshare.Class {
+	class := linkshare.Class{Priority: h.GetPriority()}
+	if h.GetTimeoutNs() > 0 {
+		class.Deadline = time.Now().Add(time.Duration(h.GetTimeoutNs()))
+	}
+	return class
+}
+
 func (x *exchange) sendInline(buf *frameBuffer, w *bodyWriter, body *reqbody.Lease, length int) error {
 	defer func() { _ = body.Close() }()
 	scratch := scratchPool.Get().(*[]byte)
@@ -159,6 +192,8 @@
 		if err == nil && flushErr == nil {
 			continue
 		}
+		// Once the request counts as sent, another exchange may use the stream.
+		endBody(x.stream)
 		x.requestSent.Store(err == io.EOF && flushErr == nil)
 		return
 	}
