Bound answers that wait unread at the calling node

A heap profile of the host away from the target has 78 of 92 MB in receive buffers of yamux and in slices that grow for the start of answers. Each stream takes 256 KiB before its reader runs, and responses count against their bound only once they are read.

Change: the caller of an answer sets a window and grants more on the control stream (internal/peer/window.go). The windows share a quarter of the memory limit. The start of an answer is buffered in pooled chunks.

--- a/internal/dispatch/bounded.go
+++ b/internal/dispatch/bounded.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"time"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/buffer"
 	"github.com/guavaford/guavaford/internal/gate"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/route"
@@ -154,10 +154,9 @@
 	if answer.Refusal() != nil || size > maxBufferedAnswer {
 		return answer
 	}
-	buffer := bytes.NewBuffer(make([]byte, 0, max(size, 0)+bytes.MinRead))
-	_, err := buffer.ReadFrom(io.LimitReader(answer.Body, maxBufferedAnswer+1))
-	data := buffer.Bytes()
-	if err != nil {
+	start := &buffer.Chunks{}
+	if err := start.Fill(answer.Body, maxBufferedAnswer+1); err != nil {
+		start.Discard()
 		_ = answer.Body.Close()
 		c.recallBody(&apiv1.CallHeader{RequestId: c.request.Origin.RequestID, Target: choice.Target().Name})
 		r := &outcome.Refusal{Code: outcome.TargetFailed, Ran: outcome.RanUnknown, Reached: true,
@@ -168,13 +167,14 @@
 		return &gate.Answer{Header: refusalHeader(answer, r), AllowanceLeft: func() (int, bool) { return 0, true }}
 	}
 	buffered := *answer
-	if len(data) > maxBufferedAnswer {
-		buffered.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(data), answer.Body), Closer: answer.Body}
+	if start.Len() > maxBufferedAnswer {
+		buffered.Body = &joinedBody{Reader: io.MultiReader(start, answer.Body), Closer: answer.Body}
 		return &buffered
 	}
 	_ = answer.Body.Close()
-	buffered.Header.ContentLength = int64(len(data))
-	buffered.Body = io.NopCloser(bytes.NewReader(data))
+	buffered.Header.ContentLength = int64(start.Len())
+	// Chunks that are not read are left to the garbage collector, since a body may be closed while it is being read.
+	buffered.Body = io.NopCloser(start)
 	return &buffered
 }
 
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -194,7 +194,7 @@
 			return nil, err
 		}
 	}
-	p.pool = peer.NewPool(p.env.identity, p.transport, peer.PoolOptions{Traffic: p.traffic})
+	p.pool = peer.NewPool(p.env.identity, p.transport, peer.PoolOptions{Traffic: p.traffic, AnswerMemory: int64(streamMemoryShare * float64(s.MemoryLimit))})
 	p.peers = peer.NewServer(p.env.identity, peer.ServerOptions{Traffic: p.traffic})
 	p.local = registry.NewLocal(registry.LocalOptions{
 		Node:        s.Name,
--- a/internal/peer/body.go
+++ b/internal/peer/body.go
@@ -76,7 +76,9 @@
 
 // bodyReader reassembles a body from frames and verifies its length and checksum.
 type bodyReader struct {
-	src    *bufio.Reader
+	src *bufio.Reader
+	// window is nil if the sender may send any number of bytes.
+	window *receiveWindow
 	frame  bodyFrame
 	unread []byte
 	length uint64
@@ -152,6 +154,7 @@
 
 // next reads one frame. Its data stays valid until the following frame is read.
 func (r *bodyReader) next() {
+	r.window.read(r.length)
 	data, err := r.readRaw()
 	if err == nil {
 		r.frame, err = parseBodyFrame(data)
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -78,7 +78,7 @@
 }
 
 func (x *exchange) addHeader(buf *frameBuffer, header proto.Message) error {
-	if err := buf.add(&apiv1.StreamHeader{Method: x.method, Number: x.number}); err != nil {
+	if err := buf.add(&apiv1.StreamHeader{Method: x.method, Number: x.number, AnswerWindow: x.window.start()}); err != nil {
 		return err
 	}
 	if size := proto.Size(header); size > maxHeaderBytes {
@@ -199,6 +199,9 @@
 	}
 	body := &answerBody{exchange: x}
 	body.reader.reset(x.reader)
+	if body.reader.window = x.window; x.window != nil && header.ContentLength >= 0 {
+		x.window.length = header.ContentLength
+	}
 	if header.Refusal != nil {
 		body.drain()
 	}
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -30,7 +30,10 @@
 func (w *controlWriter) ping(number uint64)   { w.send(&apiv1.ControlFrame{Ping: number}) }
 func (w *controlWriter) pong(number uint64)   { w.send(&apiv1.ControlFrame{Pong: number}) }
 func (w *controlWriter) cancel(number uint64) { w.send(&apiv1.ControlFrame{Cancel: number}) }
-func (w *controlWriter) goAway()              { w.send(&apiv1.ControlFrame{GoAway: true}) }
+func (w *controlWriter) grant(number, offset uint64) {
+	w.send(&apiv1.ControlFrame{Grant: number, Granted: offset})
+}
+func (w *controlWriter) goAway() { w.send(&apiv1.ControlFrame{GoAway: true}) }
 
 // send queues a frame. When the queue is full the frame is dropped: the connection is
 // stuck then, and closing it cancels every exchange on it.
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -29,6 +29,8 @@
 	pingTimedOut atomic.Bool
 	// watchdog is nil for an exchange that only its context and the state of the connection end.
 	watchdog *pingWatchdog
+	// window is nil if the peer may send an answer of any length.
+	window *receiveWindow
 }
 
 // openExchange reserves a connection and opens a stream on it. If it fails, nothing
@@ -51,6 +53,12 @@
 		number:       c.nextNumber.Add(1),
 		ctx:          ctx,
 	}
+	if m == apiv1.Method_METHOD_CALL || m == apiv1.Method_METHOD_ATTACH {
+		x.window = p.answers.take()
+	}
+	if x.window != nil {
+		x.window.grant = func(offset uint64) { c.control.grant(x.number, offset) }
+	}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
 	return x, nil
 }
@@ -67,6 +75,7 @@
 	if x.ended.Swap(true) {
 		return
 	}
+	x.window.release()
 	uninterrupted := x.stop()
 	if uninterrupted && !completed {
 		x.interrupt()
--- a/internal/peer/incoming.go
+++ b/internal/peer/incoming.go
@@ -33,6 +33,7 @@
 	ctx     context.Context
 	stream  net.Conn
 	history *headerHistory
+	window  *sendWindow
 	buf     *frameBuffer
 	// reader reads the body; while source is lent, only the holder of Body uses it. source is nil for an empty body.
 	reader   bodyReader
@@ -94,10 +95,11 @@
 	if err := history.decompressCall(call, ss.remote); err != nil {
 		return false
 	}
-	ctx, end := ss.begin(header.Number, stream)
+	window := newSendWindow(header.AnswerWindow)
+	ctx, end := ss.begin(header.Number, stream, window)
 	defer end()
 	in := ss.newIncoming(ctx, stream, reader, call)
-	in.history = history
+	in.history, in.window = history, window
 	if refusal := ss.refuseCall(ss.server.call == nil); refusal != nil {
 		return in.refuse(refusal)
 	}
@@ -110,10 +112,11 @@
 	if err := readFrame(reader, attach, maxHeaderBytes); err != nil {
 		return false
 	}
-	ctx, end := ss.begin(header.Number, stream)
+	window := newSendWindow(header.AnswerWindow)
+	ctx, end := ss.begin(header.Number, stream, window)
 	defer end()
 	in := ss.newIncoming(ctx, stream, reader, &apiv1.CallHeader{Key: attach.Key})
-	in.history = history
+	in.history, in.window = history, window
 	// The request has no body.
 	in.reader.err = io.EOF
 	if refusal := ss.refuseCall(ss.server.attach == nil); refusal != nil {
@@ -158,8 +161,7 @@
 	return in.buf.add(in.history.compressAnswer(h))
 }
 
-// Write sends a part of the answer's body. It blocks while the caller's flow-control
-// window is full, and fails after writeTimeout without progress.
+// Write sends a part of the answer's body. It blocks while the caller's windows are full, and fails after writeTimeout without progress.
 func (in *IncomingCall) Write(p []byte) (int, error) {
 	if !in.answered {
 		return 0, errNotAnswered
@@ -170,17 +172,29 @@
 	if err := context.Cause(in.ctx); err != nil {
 		return 0, err
 	}
+	for rest := p; len(rest) > 0; {
+		n, err := in.window.wait(in.ctx, in.out.length, len(rest), writeTimeout)
+		if err != nil {
+			return 0, in.writeError(err)
+		}
+		if err := in.writePart(rest[:n]); err != nil {
+			return 0, in.writeError(err)
+		}
+		rest = rest[n:]
+	}
+	return len(p), nil
+}
+
+// writePart writes a part of the body that is within the window.
+func (in *IncomingCall) writePart(p []byte) error {
 	in.extendWriteDeadline()
 	if err := in.out.add(in.buf, in.stream, p); err != nil {
-		return 0, in.writeError(err)
+		return err
 	}
 	if in.coalesce && len(in.buf.data) < inlineBodyBytes {
-		return len(p), nil
-	}
-	if err := in.buf.flush(in.stream); err != nil {
-		return 0, in.writeError(err)
+		return nil
 	}
-	return len(p), nil
+	return in.buf.flush(in.stream)
 }
 
 // ReadFrom writes all of src as parts of the answer's body.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -18,6 +18,9 @@
 	Seed uint64
 	// Traffic counts exchanges and bytes; nil disables counting.
 	Traffic *Traffic
+	// AnswerMemory bounds the bytes of answers that have arrived and were not read, for all calls together: the more calls there are,
+	// the smaller are their windows. 0 leaves each call a window of StreamWindow.
+	AnswerMemory int64
 	// Intercept, if set, is called for each unary exchange and runs it by calling do. Tests
 	// use it to drop, delay and repeat messages.
 	Intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
@@ -29,6 +32,7 @@
 	transport Transport
 	intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
 	traffic   *Traffic
+	answers   answerMemory
 
 	// ctx ends when the pool is closed.
 	ctx    context.Context
@@ -76,6 +80,7 @@
 		transport: t,
 		intercept: o.Intercept,
 		traffic:   o.Traffic,
+		answers:   answerMemory{limit: o.AnswerMemory},
 		endpoints: make(map[string]*endpoint),
 		rnd:       rand.New(rand.NewPCG(seed, seed)),
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -42,6 +42,8 @@
 type runningExchange struct {
 	stream net.Conn
 	cancel context.CancelCauseFunc
+	// window is nil if the calling end has set none for the answer.
+	window *sendWindow
 }
 
 func newServerSession(s *Server, session Session) *serverSession {
@@ -147,6 +149,9 @@
 		if frame.Cancel != 0 {
 			ss.cancelExchange(frame.Cancel)
 		}
+		if frame.Grant != 0 {
+			ss.grant(frame.Grant, frame.Granted)
+		}
 	}
 }
 
@@ -235,6 +240,15 @@
 	ss.running[number] = in
 }
 
+// grant allows an exchange to send its answer up to an offset.
+func (ss *serverSession) grant(number, offset uint64) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	if in := ss.running[number]; in != nil {
+		in.window.grant(offset)
+	}
+}
+
 func (ss *serverSession) unregister(number uint64) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
@@ -305,9 +319,9 @@
 }
 
 // begin returns the context of an exchange and the function that ends it.
-func (ss *serverSession) begin(number uint64, stream net.Conn) (context.Context, func()) {
+func (ss *serverSession) begin(number uint64, stream net.Conn, window *sendWindow) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ss.ctx)
-	ss.register(number, &runningExchange{stream: stream, cancel: cancel})
+	ss.register(number, &runningExchange{stream: stream, cancel: cancel, window: window})
 	ss.signs.Add(1)
 	if ss.waiting.Load() {
 		ss.wakePingMonitor()
@@ -334,7 +348,7 @@
 	if err := readFrame(reader, req, maxMessageBytes); err != nil {
 		return false
 	}
-	ctx, end := ss.begin(header.Number, stream)
+	ctx, end := ss.begin(header.Number, stream, nil)
 	defer end()
 	if header.TimeoutNs > 0 {
 		var cancel context.CancelFunc
--- a/internal/peer/yamux_test.go
+++ b/internal/peer/yamux_test.go
@@ -38,6 +38,11 @@
 
 // startLoopback returns a server on loopback, a pool that can reach it, and the server's address.
 func startLoopback(t testing.TB, call func(context.Context, *IncomingCall)) (*Server, *Pool, string) {
+	return startLoopbackWith(t, PoolOptions{Seed: 1}, call)
+}
+
+// startLoopbackWith is startLoopback with options of the pool.
+func startLoopbackWith(t testing.TB, o PoolOptions, call func(context.Context, *IncomingCall)) (*Server, *Pool, string) {
 	transport, err := NewYamux(testSecret)
 	require.NoError(t, err)
 	listener, err := transport.Listen("127.0.0.1:0")
@@ -47,7 +52,7 @@
 	HandleUnary(server, apiv1.Method_METHOD_LEASE, func() *apiv1.LeaseRequest { return &apiv1.LeaseRequest{} }, ping)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
-	pool := NewPool(Identity{Node: "a", Incarnation: 1}, transport, PoolOptions{Seed: 1})
+	pool := NewPool(Identity{Node: "a", Incarnation: 1}, transport, o)
 	t.Cleanup(func() {
 		pool.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
