Merge windows for answers that wait unread at the calling node

Cause: the process beside callers that read nothing exceeded its memory on a busy machine, as each stream takes 256 KiB before its reader runs.

Streams are opened by the pool, which knows the memory of all windows.

Measured: go test ./internal/peer ./internal/dispatch ./internal/gate, and -race ./internal/peer: ok.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -48,7 +48,7 @@
 		c.end()
 		return nil, &CallError{Address: address, Err: late}
 	}
-	x, err := c.openExchange(ctx, address, apiv1.Method_METHOD_CALL)
+	x, err := p.openOn(ctx, c, address, apiv1.Method_METHOD_CALL)
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +88,7 @@
 }
 
 func (x *exchange) addHeader(buf *frameBuffer, header proto.Message) error {
-	if err := buf.add(&apiv1.StreamHeader{Method: x.method, Number: x.number}); err != nil {
+	if err := buf.add(&apiv1.StreamHeader{Method: x.method, Number: x.number, AnswerWindow: x.window.start()}); err != nil {
 		return err
 	}
 	if size := proto.Size(header); size > maxHeaderBytes {
@@ -234,6 +234,9 @@
 	}
 	body := &answerBody{exchange: x}
 	body.reader.reset(x.reader)
+	if body.reader.window = x.window; x.window != nil && header.ContentLength >= 0 {
+		x.window.length = header.ContentLength
+	}
 	if header.Refusal != nil {
 		body.drain()
 	}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -20,6 +20,9 @@
 	Traffic *Traffic
 	// SendLateBodies sends bodies that can't arrive in time over a connection, instead of failing with a LateBodyError.
 	SendLateBodies bool
+	// AnswerMemory bounds the bytes of answers that have arrived and were not read, for all calls together: the more calls there are,
+	// the smaller are their windows. 0 leaves each call a window of StreamWindow.
+	AnswerMemory int64
 	// Intercept, if set, is called for each unary exchange and runs it by calling do. Tests
 	// use it to drop, delay and repeat messages.
 	Intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
@@ -31,6 +34,7 @@
 	transport Transport
 	intercept func(ctx context.Context, address string, m apiv1.Method, do func() error) error
 	traffic   *Traffic
+	answers   answerMemory
 
 	sendLateBodies bool
 
@@ -80,6 +84,7 @@
 		transport: t,
 		intercept: o.Intercept,
 		traffic:   o.Traffic,
+		answers:   answerMemory{limit: o.AnswerMemory},
 
 		sendLateBodies: o.SendLateBodies,
 
