Receive kept answers in pooled chunks

Cause: an answer that is received for keeping grew its slice by doubling, which copied it and left up to its size again as garbage, beside the memory that the table counts.

Change: chunks of 8 KiB from a pool, given back when they are dropped; the last one is clipped to its size when the answer is whole. What is counted, refused and kept is unchanged.

--- a/internal/calltable/spool.go
+++ b/internal/calltable/spool.go
@@ -34,10 +34,10 @@
 	// changed is closed, and replaced, at each change that readers or the writer may wait for.
 	changed chan struct{}
 	header  *apiv1.AnswerHeader
-	data    []byte
+	data    chunks
 	// room is the number of bytes that may be buffered.
 	room int
-	// base is the offset of data[0] in the body.
+	// base is the offset of the first byte of data in the body.
 	base int
 	// taken is the greatest offset in the body up to which a reader has read.
 	taken  int
@@ -92,9 +92,8 @@
 func (s *ResponseBuffer) write(ctx context.Context, p []byte) error {
 	for {
 		s.mu.Lock()
-		if len(s.data)+len(p) <= s.room {
-			s.reserve(len(p))
-			s.data = append(s.data, p...)
+		if s.data.size+len(p) <= s.room {
+			s.data.add(p, int(s.header.GetContentLength()))
 			s.notify()
 			s.mu.Unlock()
 			return nil
@@ -112,8 +111,8 @@
 			continue
 		}
 		if s.taken > s.base {
-			n := copy(s.data, s.data[s.taken-s.base:])
-			s.data, s.base = s.data[:n], s.taken
+			s.data.drop(s.taken - s.base)
+			s.base = s.taken
 			s.mu.Unlock()
 			continue
 		}
@@ -145,27 +144,13 @@
 // moreRoom returns how much room to ask for before n more bytes are buffered: enough for the complete body if its length
 // is known, else twice as much as now, up to KeptAnswerBytes. The caller holds mu.
 func (s *ResponseBuffer) moreRoom(n int) int {
-	want := max(2*s.room, len(s.data)+n)
+	want := max(2*s.room, s.data.size+n)
 	if length := s.header.GetContentLength(); s.base == 0 && length > 0 && length <= KeptAnswerBytes {
-		want = max(int(length), len(s.data)+n)
+		want = max(int(length), s.data.size+n)
 	}
 	return min(want, KeptAnswerBytes) - s.room
 }
 
-// reserve allocates memory for n more bytes, within the room: for the complete body if its length is known, else twice as
-// much as before. The caller holds mu.
-func (s *ResponseBuffer) reserve(n int) {
-	if len(s.data)+n <= cap(s.data) {
-		return
-	}
-	size := 2 * cap(s.data)
-	if length := s.header.GetContentLength(); s.base == 0 && length > 0 {
-		size = int(min(length, KeptAnswerBytes))
-	}
-	size = min(max(size, len(s.data)+n), s.room)
-	s.data = append(make([]byte, 0, size), s.data...)
-}
-
 // Close ends the body. A nil error means that the body is complete. Only the first call has an effect.
 func (s *ResponseBuffer) Close(err error, allowanceLeft int) {
 	s.mu.Lock()
@@ -220,10 +205,7 @@
 func (s *ResponseBuffer) settle() (kept, total, had int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cap(s.data) > len(s.data)+len(s.data)/4 {
-		s.data = append(make([]byte, 0, len(s.data)), s.data...)
-	}
-	kept, total, had = cap(s.data), s.base+len(s.data), s.room
+	kept, total, had = s.data.clip(), s.base+s.data.size, s.room
 	s.room = kept
 	return kept, total, had
 }
@@ -242,8 +224,9 @@
 	if s.readers > 0 {
 		return false
 	}
-	s.base += len(s.data) + 1
-	s.data, s.room = nil, 0
+	s.base += s.data.size + 1
+	s.data.drop(s.data.size)
+	s.room = 0
 	return true
 }
 
@@ -283,7 +266,7 @@
 			s.mu.Unlock()
 			return 0, ErrNotKept
 		}
-		if n := copy(p, s.data[r.offset-s.base:]); n > 0 {
+		if n := s.data.copyAt(p, r.offset-s.base); n > 0 {
 			r.offset += n
 			s.taken = max(s.taken, r.offset)
 			if s.base+s.room/2 < s.taken {
