Cover cold targets, evacuations, regions and uploads in the soak

Two evacuations a run, whose orders are sent again, with the state read before and after they are taken back. Loss of the power of all hosts as a kind of fault, in each run with an even seed if no control host is harmed then. A broken run prints its command, and why tries in quiet time were not served.

--- a/internal/faultsoak/caller.go
+++ b/internal/faultsoak/caller.go
@@ -1,6 +1,7 @@
 package faultsoak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,8 +22,13 @@
 	bookingCallers  = 6
 	lookupCallers   = 4
 	overloadCallers = 3
-	bookPause       = 30 * time.Millisecond
-	overloadPause   = 25 * time.Millisecond
+	uploadCallers   = 2
+	homeCallers     = 2
+	// coldCallers send several times of what cold targets take.
+	coldCallers   = 8
+	uploadPause   = 100 * time.Millisecond
+	bookPause     = 30 * time.Millisecond
+	overloadPause = 25 * time.Millisecond
 	// maxTries is the most often that a booking is sent, the first time included.
 	maxTries = 4
 	// routeTimeout is the timeout of all routes in configuration, callerTimeout how long a caller waits for a response.
@@ -46,6 +52,15 @@
 	for n := range bookingCallers {
 		c.loop(ctx, bookPause, fmt.Sprintf("b%d", n), c.book)
 	}
+	for n := range uploadCallers {
+		c.loop(ctx, uploadPause, fmt.Sprintf("u%d", n), c.upload)
+	}
+	for n := range homeCallers {
+		c.loop(ctx, bookPause, fmt.Sprintf("h%d", n), func(client *http.Client, id string) { c.lookUp(client, "home", id, c.key) })
+	}
+	for n := range coldCallers {
+		c.loop(ctx, overloadPause, fmt.Sprintf("c%d", n), func(client *http.Client, id string) { c.lookUp(client, "cold", id, c.key) })
+	}
 	for n := range lookupCallers {
 		c.loop(ctx, bookPause, fmt.Sprintf("l%d", n), func(client *http.Client, id string) { c.lookUp(client, "look", id, c.key) })
 	}
@@ -66,10 +81,18 @@
 }
 
 // book sends a booking until a target has answered, but at most maxTries times.
-func (c *callers) book(client *http.Client, id string) {
+func (c *callers) book(client *http.Client, id string) { c.try(client, "book", id, nil) }
+
+// upload sends an upload like a booking.
+func (c *callers) upload(client *http.Client, id string) { c.try(client, "upload", id, uploadBody(id)) }
+
+func (c *callers) try(client *http.Client, path, id string, body []byte) {
 	for range maxTries {
 		quiet := c.quiet.Load()
-		verdict, final := c.send(client, http.MethodPost, "book", id, c.key)
+		verdict, final, reason := c.send(client, http.MethodPost, path, id, c.key, body)
+		if quiet && verdict != Served {
+			c.recorder.RecordQuietReason(path + ": " + reason)
+		}
 		c.recorder.RecordTry(id, verdict, quiet)
 		if final {
 			return
@@ -80,13 +103,13 @@
 
 // lookUp sends one request and doesn't retry it.
 func (c *callers) lookUp(client *http.Client, path, id, key string) {
-	c.send(client, http.MethodGet, path, id, key)
+	c.send(client, http.MethodGet, path, id, key, nil)
 }
 
-// send sends a request once, through a random node. final is true if a target has answered.
-func (c *callers) send(client *http.Client, method, path, id, key string) (verdict Verdict, final bool) {
+// send sends a request once, through a random node. final is true if a target has answered; reason says why it was not served.
+func (c *callers) send(client *http.Client, method, path, id, key string, body []byte) (verdict Verdict, final bool, reason string) {
 	node := c.fleet.nodes[rand.IntN(len(c.fleet.nodes))]
-	req, err := http.NewRequest(method, "http://"+node.callers.Address()+"/"+path+"/"+id, nil)
+	req, err := http.NewRequest(method, "http://"+node.callers.Address()+"/"+path+"/"+id, bytes.NewReader(body))
 	if err != nil {
 		panic("the request's address is valid: " + err.Error())
 	}
@@ -94,23 +117,23 @@
 	req.Header.Set(headers.IdempotencyKey, "key-"+id)
 	resp, err := client.Do(req)
 	if err != nil {
-		return Unknown, false
+		return Unknown, false, err.Error()
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return Unknown, false
+		return Unknown, false, err.Error()
 	}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "application/problem+json") {
-		return refusalVerdict(body), false
+		return refusalVerdict(answer), false, string(answer)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return Unknown, true
+		return Unknown, true, resp.Status + " " + string(answer)
 	}
-	if string(body) != answerTo(id) {
-		c.recorder.WrongAnswer(id, string(body))
+	if string(answer) != answerTo(id) {
+		c.recorder.WrongAnswer(id, string(answer))
 	}
-	return Served, true
+	return Served, true, ""
 }
 
 // refusalVerdict returns the verdict for the body of a refusal.
--- a/internal/faultsoak/cmd/faultsoak/main.go
+++ b/internal/faultsoak/cmd/faultsoak/main.go
@@ -52,8 +52,11 @@
 			return errors.Wrapf(err, "seed %d, files in %s", seed+n, folder)
 		}
 		s := report.Summary
-		fmt.Printf("seed %d: %d faults, %d bookings, tries %v, %d requests of the limited organisation, %d promises broken\n",
-			report.Seed, len(report.Plan), s.Bookings, s.Tries, s.Limited, len(report.Violations))
+		fmt.Printf("seed %d: %d faults, %d bookings, tries %v, %d requests of the limited organisation, %d to cold targets, %d with a home region, %d uploads, %d evacuations, %d promises broken\n",
+			report.Seed, len(report.Plan), s.Bookings, s.Tries, s.Limited, s.Cold, s.Home, s.Uploads, s.Evacuations, len(report.Violations))
+		if len(report.Violations) > 0 {
+			fmt.Printf("  command: go run ./internal/faultsoak/cmd/faultsoak --seed %d --length %v\n", report.Seed, length)
+		}
 		for _, line := range report.Violations {
 			fmt.Println("  broken:", line)
 		}
--- a/internal/faultsoak/fleet.go
+++ b/internal/faultsoak/fleet.go
@@ -37,6 +37,20 @@
 	data string
 	// targetProxies forward from the node to the targets on its host.
 	targetProxies []*Proxy
+	// coldTarget is the target of the cold service on its host.
+	coldTarget *target
+	dataCentre string
+	touch      touch
+}
+
+// dataCentre returns the name of a data centre, region that of its region: the last data centre is in a region of its own.
+func dataCentre(i int) string { return fmt.Sprintf("dc%d", i) }
+
+func region(name string) string {
+	if name == dataCentre(controlNodes-1) {
+		return awayRegion
+	}
+	return homeRegion
 }
 
 // fleet is the set of all node processes of a run.
@@ -92,11 +106,17 @@
 	for _, n := range f.nodes[:controlNodes] {
 		control = append(control, n.peers.Address())
 	}
+	var regions []string
+	for i := range controlNodes {
+		regions = append(regions, dataCentre(i)+"="+region(dataCentre(i)))
+	}
 	for i, n := range f.nodes {
 		n.process.name = fmt.Sprintf("n%d", i+1)
 		n.log = filepath.Join(f.folder, n.process.name+".log")
 		n.data = filepath.Join(f.folder, "data-"+n.process.name)
-		n.args = append(n.args, "--name", n.process.name, "--data-centre", fmt.Sprintf("dc%d", i%controlNodes), "--data-folder", n.data)
+		n.dataCentre = dataCentre(i % controlNodes)
+		n.args = append(n.args, "--name", n.process.name, "--data-centre", n.dataCentre, "--region", region(n.dataCentre), "--regions", strings.Join(regions, ","),
+			"--data-folder", n.data)
 		if i < controlNodes {
 			n.args = append(n.args, "--initial-replicas", strings.Join(control, ","))
 		} else {
@@ -129,6 +149,13 @@
 	n := f.nodes[fault.Node]
 	ended.Go(func() {
 		begin, end := n.faultActions(fault, report)
+		if fault.Kind == LosePower {
+			begin, end = f.powerLoss(report)
+		}
+		if outOfTouch(fault.Kind) {
+			n.touch.lose()
+			defer func() { n.touch.regain(time.Now()) }()
+		}
 		begin()
 		time.Sleep(fault.Duration)
 		end()
@@ -176,6 +203,9 @@
 		return n.forEachTargetProxy(func(p *Proxy) { p.Set(Delay, delay) }), n.forEachTargetProxy(func(p *Proxy) { p.Set(Pass, 0) })
 	case ResetTargets:
 		return n.forEachTargetProxy((*Proxy).Reset), func() {}
+	case LosePower:
+		// The fleet has its actions.
+		return nil, nil
 	default:
 		panic("faultsoak: a fault without a kind: " + string(fault.Kind))
 	}
--- a/internal/faultsoak/ledger.go
+++ b/internal/faultsoak/ledger.go
@@ -48,6 +48,9 @@
 	quiet map[Verdict]int
 	// afterLeave has a target's name for each request that it got long after it had announced that it leaves.
 	afterLeave []string
+	bounds     bounds
+	// quietReasons says why tries in quiet time were not served.
+	quietReasons []string
 }
 
 // booking collects the runs of one booking and the verdicts of all its tries.
@@ -58,7 +61,7 @@
 
 // NewRecorder returns an empty recorder that checks a rate limit.
 func NewRecorder(limit RateLimit) *Recorder {
-	return &Recorder{limit: limit, bookings: map[string]*booking{}, changes: map[string]bool{}, tries: map[Verdict]int{}, quiet: map[Verdict]int{}}
+	return &Recorder{limit: limit, bookings: map[string]*booking{}, changes: map[string]bool{}, tries: map[Verdict]int{}, quiet: map[Verdict]int{}, bounds: bounds{cold: map[string][]time.Time{}}}
 }
 
 // booking returns the booking with an id, and adds it if necessary. The caller holds the lock.
@@ -125,11 +128,13 @@
 	delete(l.changes, name)
 }
 
-// Summary counts the bookings, their tries by verdict, and the runs of the limited organisation.
+// Summary counts the bookings (uploads included), their tries by verdict, the runs of the limited organisation, requests to cold targets,
+// requests with a home region, uploads that arrived whole, and confirmed evacuations.
 type Summary struct {
-	Bookings int
-	Tries    map[Verdict]int
-	Limited  int
+	Bookings                         int
+	Tries                            map[Verdict]int
+	Limited                          int
+	Cold, Home, Uploads, Evacuations int
 }
 
 // Summary returns the counts so far.
@@ -140,9 +145,23 @@
 	for v, n := range l.tries {
 		tries[v] = n
 	}
-	return Summary{Bookings: len(l.bookings), Tries: tries, Limited: len(l.limited)}
+	s := Summary{Bookings: len(l.bookings), Tries: tries, Limited: len(l.limited), Home: l.bounds.home, Uploads: l.bounds.uploads, Evacuations: l.bounds.evacuations}
+	for _, at := range l.bounds.cold {
+		s.Cold += len(at)
+	}
+	return s
+}
+
+// RecordQuietReason records why a try in quiet time was not served.
+func (l *Recorder) RecordQuietReason(reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quietReasons = append(l.quietReasons, reason)
 }
 
+// maxReasons bounds the reasons in a report.
+const maxReasons = 3
+
 // minQuietServed is the share of tries in quiet time that must be served.
 const minQuietServed = 0.95
 
@@ -161,6 +180,7 @@
 	for _, target := range l.afterLeave {
 		broken = append(broken, fmt.Sprintf("target %s ran a request long after it said that it leaves", target))
 	}
+	broken = append(broken, l.bounds.violations()...)
 	broken = append(broken, l.brokenRate()...)
 	return append(broken, l.brokenRecovery()...)
 }
@@ -217,7 +237,7 @@
 		return []string{"no request was tried in quiet time"}
 	}
 	if share := float64(l.quiet[Served]) / float64(total); share < minQuietServed {
-		return []string{fmt.Sprintf("%.1f%% of %d tries were served in quiet time: %v", 100*share, total, l.quiet)}
+		return []string{fmt.Sprintf("%.1f%% of %d tries were served in quiet time: %v, first %q", 100*share, total, l.quiet, l.quietReasons[:min(len(l.quietReasons), maxReasons)])}
 	}
 	return nil
 }
--- a/internal/faultsoak/plan.go
+++ b/internal/faultsoak/plan.go
@@ -29,11 +29,14 @@
 	ResetCallers Kind = "reset-callers"
 	DelayTargets Kind = "delay-targets"
 	ResetTargets Kind = "reset-targets"
+	// LosePower kills all processes at once and starts them again after the duration of the fault. All targets of the cold service are cold then.
+	LosePower Kind = "lose-power"
 )
 
 // kinds lists all kinds. The plan of a seed depends on their order.
 var kinds = []Kind{
 	StopProcess, KillProcess, PauseProcess, DelayPeers, SilentPeers, OneWayPeers, ResetPeers, ResetCallers, DelayTargets, ResetTargets, LoseDisk,
+	LosePower,
 }
 
 // Fault is one fault of a plan: it begins at Start, counted from the start of the plan, and lasts for Duration.
@@ -61,11 +64,12 @@
 )
 
 // NewPlan returns the faults for a seed, in the order in which they begin. The first control of all processes have a
-// control replica; at most one of these is impaired at a time.
+// control replica; at most one of these is impaired at a time, unless the power of all hosts is lost. With an even seed
+// it is lost in the second half of the time, if no replica is impaired then.
 func NewPlan(seed uint64, length time.Duration, control, processes int) []Fault {
 	rnd := rand.New(rand.NewPCG(seed, 0))
 	var plan []Fault
-	impairedUntil := time.Duration(0)
+	impairedUntil, lost := time.Duration(0), false
 	for at := time.Duration(0); at < length; at += time.Duration(rnd.ExpFloat64() * float64(meanInterval)) {
 		f := Fault{
 			Start:    at,
@@ -74,12 +78,20 @@
 			Duration: minFault + time.Duration(rnd.Int64N(int64(maxFault-minFault))),
 		}
 		f.Duration = min(f.Duration, length-at)
+		if seed%2 == 0 && !lost && at >= length/2 && at >= impairedUntil {
+			f.Kind = LosePower
+		}
+		if f.Kind == LosePower {
+			// It takes control replicas along, whatever node was drawn.
+			f.Node = 0
+		}
 		if f.Node < control && impairsReplica(f.Kind) {
 			if at < impairedUntil {
 				continue
 			}
 			impairedUntil = at + f.Duration + catchUpTime
 		}
+		lost = lost || f.Kind == LosePower
 		plan = append(plan, f)
 	}
 	return plan
@@ -88,7 +100,7 @@
 // impairsReplica reports whether the control replica of a host counts as lost during a fault.
 func impairsReplica(k Kind) bool {
 	switch k {
-	case StopProcess, KillProcess, LoseDisk, PauseProcess, SilentPeers, OneWayPeers:
+	case StopProcess, KillProcess, LoseDisk, PauseProcess, SilentPeers, OneWayPeers, LosePower:
 		return true
 	default:
 		return false
--- a/internal/faultsoak/run.go
+++ b/internal/faultsoak/run.go
@@ -80,6 +80,25 @@
 spec: {pathPrefix: /limited, methods: [GET], service: front, timeout: 2s}
 ---
 kind: Route
+name: upload
+labels: {class: standard}
+spec: {pathPrefix: /upload, methods: [POST], service: front, timeout: 2s}
+---
+kind: Route
+name: home
+labels: {class: standard}
+spec: {pathPrefix: /home, methods: [GET], service: front, timeout: 2s, regions: [home]}
+---
+kind: Route
+name: cold
+labels: {class: standard}
+spec: {pathPrefix: /cold, methods: [GET], service: cold, timeout: 2s}
+---
+kind: Target
+name: cold
+spec: {service: cold, coldStart: 3s, coldPerSecond: 13}
+---
+kind: Route
 name: inner
 labels: {class: standard}
 spec: {pathPrefix: /inner, methods: [GET], service: back, timeout: 2s}
@@ -97,11 +116,12 @@
 // run is one run: a fleet with its callers, targets and operator.
 type run struct {
 	Options
-	fleet    *fleet
-	recorder *Recorder
-	callers  *callers
-	targets  []*target
-	changes  sync.WaitGroup
+	fleet     *fleet
+	recorder  *Recorder
+	callers   *callers
+	targets   []*target
+	changes   sync.WaitGroup
+	evacuated evacuated
 
 	mu       sync.Mutex
 	failures []string
@@ -113,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{Options: o, recorder: NewRecorder(limitedRate)}
+	r := &run{Options: o, recorder: NewRecorder(limitedRate), evacuated: evacuated{since: map[string]time.Time{}}}
 	if r.fleet, err = newFleet(o.Folder, program); err != nil {
 		return nil, err
 	}
@@ -150,7 +170,9 @@
 	callersCtx, stop := context.WithCancel(ctx)
 	r.callers.start(callersCtx)
 	r.changes.Go(func() { r.applyChanges(callersCtx) })
+	r.changes.Go(func() { r.coolTargets(callersCtx) })
 	clock.Sleep(ctx, warmUp)
+	r.changes.Go(func() { r.evacuate(callersCtx, time.Now(), NewEvacuations(r.Seed, r.Length, controlNodes)) })
 	if err := r.injectFaults(ctx, guard, plan); err != nil {
 		stop()
 		return err
@@ -196,17 +218,20 @@
 		if i%2 == 1 {
 			service = backService
 		}
-		t, err := startTarget(ctx, fmt.Sprintf("%s-%d", service, i+1), service, n, r.recorder)
+		t, err := startTarget(ctx, fmt.Sprintf("%s-%d", service, i+1), service, n, r.recorder, &r.evacuated)
 		if err != nil {
 			return err
 		}
 		r.targets = append(r.targets, t)
+		if n.coldTarget, err = startTarget(ctx, fmt.Sprintf("%s-%d", coldService, i+1), coldService, n, r.recorder, &r.evacuated); err != nil {
+			return err
+		}
 	}
 	return eventually(func() error {
 		// Probes have a recorder of their own, so that they don't count in the report.
 		probe := &callers{fleet: r.fleet, recorder: NewRecorder(limitedRate), key: r.callers.key}
 		for range 2 * allNodes {
-			if verdict, _ := probe.send(newProbeClient(), "GET", "look", "start", r.callers.key); verdict != Served {
+			if verdict, _, _ := probe.send(newProbeClient(), "GET", "look", "start", r.callers.key, nil); verdict != Served {
 				return errors.Errorf("a first request was not served: %s", verdict)
 			}
 		}
--- a/internal/faultsoak/target.go
+++ b/internal/faultsoak/target.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,11 @@
 const (
 	frontService = "front"
 	backService  = "back"
+	coldService  = "cold"
+	homeRegion   = "home"
+	awayRegion   = "away"
+	// coldStart is how long a target of the cold service is cold after its start.
+	coldStart = 3 * time.Second
 )
 
 // target is a target on the host of one node.
@@ -44,20 +50,30 @@
 	// instance identifies this run of the target in its announcements.
 	instance string
 	// leftAt is when the target announced that it leaves, in Unix nanoseconds, or 0.
-	leftAt atomic.Int64
+	leftAt    atomic.Int64
+	evacuated *evacuated
+	cold      cold
+	// announcing is held while an announcement is on the way, so that none overtakes another.
+	announcing sync.Mutex
 }
 
 // startTarget starts a target, which serves requests and renews its announcement until ctx ends.
-func startTarget(ctx context.Context, name, service string, n *node, recorder *Recorder) (*target, error) {
+func startTarget(ctx context.Context, name, service string, n *node, recorder *Recorder, e *evacuated) (*target, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "target")
 	}
-	t := &target{name: name, service: service, node: n, recorder: recorder, instance: fmt.Sprint(time.Now().UnixNano())}
+	t := &target{name: name, service: service, node: n, recorder: recorder, instance: fmt.Sprint(time.Now().UnixNano()), evacuated: e}
+	if service == coldService {
+		t.cold.begin(time.Now(), coldStart)
+	}
 	if t.proxy, err = NewProxy(listener.Addr().String()); err != nil {
 		return nil, err
 	}
-	n.targetProxies = append(n.targetProxies, t.proxy)
+	// A delay between a node and a cold target would let requests arrive together that were sent at the allowed rate.
+	if service != coldService {
+		n.targetProxies = append(n.targetProxies, t.proxy)
+	}
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
 	go func() { _ = t.server.Serve(listener) }()
 	go func() {
@@ -70,15 +86,22 @@
 	return t, nil
 }
 
-// announce announces the target to its node. Errors are ignored, as the announcement is renewed soon.
-func (t *target) announce(ctx context.Context) {
+// announce announces the target to its node and reports whether that was accepted. It is renewed soon.
+func (t *target) announce(ctx context.Context) bool {
+	t.announcing.Lock()
+	defer t.announcing.Unlock()
 	state := "ready"
 	if t.leftAt.Load() != 0 {
 		state = "leaving"
 	}
-	body, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": t.service, "address": t.proxy.Address(), "slots": targetSlots, "state": state, "instance": t.instance,
-	})
+	}
+	until := t.cold.end()
+	if left := time.Until(until); left > 0 {
+		fields["cold_left_ms"] = left.Milliseconds() + 1
+	}
+	body, err := json.Marshal(fields)
 	if err != nil {
 		panic("announcements always marshal: " + err.Error())
 	}
@@ -88,9 +111,22 @@
 	if err != nil {
 		panic("the announcement's address is valid: " + err.Error())
 	}
-	if resp, err := http.DefaultClient.Do(req); err == nil {
-		_ = resp.Body.Close()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false
 	}
+	t.cold.told(until)
+	return true
+}
+
+// becomeCold makes the target cold for a time and tells its node at once.
+func (t *target) becomeCold(d time.Duration) {
+	t.cold.begin(time.Now(), d)
+	t.announce(context.Background())
 }
 
 // leave announces that the target leaves. It still serves requests.
@@ -99,21 +135,36 @@
 	t.announce(ctx)
 }
 
-// ServeHTTP runs a request: /book/ID, /look/ID, /limited/ID or /inner/ID. Before it answers, a target of the front
+// ServeHTTP runs a request: /book/ID, /look/ID, /limited/ID, /upload/ID, /home/ID, /cold/ID or /inner/ID. Before it answers, a target of the front
 // service makes a sub-call to the back service for /book and /look.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if left := t.leftAt.Load(); left != 0 && time.Since(time.Unix(0, left)) > leaveTimeout {
 		t.recorder.RecordRunAfterLeave(t.name)
 	}
+	now := time.Now()
+	if after, ok := t.evacuated.overdue(t.node.dataCentre, now); ok && t.node.touch.has(now) {
+		t.recorder.RecordEvacuatedRun(t.name, after)
+	}
 	kind, id, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch kind {
 	case "book":
 		t.recorder.RecordRun(id)
 	case "limited":
-		t.recorder.RecordLimitedRun(time.Now())
+		t.recorder.RecordLimitedRun(now)
+	case "upload":
+		t.recorder.RecordRun(id)
+		if err := t.readUpload(r, id); err != nil {
+			return
+		}
+	case "home":
+		t.recorder.RecordHomeRun(id, t.name, region(t.node.dataCentre))
+	case "cold":
+		if t.cold.counts(now) {
+			t.recorder.RecordColdRun(t.name, now)
+		}
 	}
 	time.Sleep(workTime)
-	if t.service == frontService && kind != "limited" {
+	if kind == "book" || kind == "look" {
 		if err := t.callBackService(r, id); err != nil {
 			http.Error(w, err.Error(), http.StatusBadGateway)
 			return
