--- a/internal/faultsoak/bounds.go
+++ b/internal/faultsoak/bounds.go
@@ -26,8 +26,22 @@
 	uploads int
 	// evacuations counts the confirmed ones.
 	evacuations int
-	// broken describes single events that violate a guarantee.
-	broken []string
+	// events has the events that violate a guarantee by kind: the number of them, and a description of the first.
+	events map[string]*events
+}
+
+// events counts events of one kind.
+type events struct {
+	count int
+	first string
+}
+
+// add adds an event of a kind. The caller holds the lock.
+func (b *bounds) add(kind, format string, args ...any) {
+	if b.events[kind] == nil {
+		b.events[kind] = &events{first: fmt.Sprintf(format, args...)}
+	}
+	b.events[kind].count++
 }
 
 // RecordColdRun records that a target got a request while it was cold.
@@ -41,7 +55,7 @@
 func (l *Recorder) RecordEvacuatedRun(target string, after time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.bounds.broken = append(l.bounds.broken, fmt.Sprintf("target %s got a request %.1fs after its data centre was evacuated", target, after.Seconds()))
+	l.bounds.add("evacuated "+target, "target %s got a request %.1fs after its data centre was evacuated", target, after.Seconds())
 }
 
 // RecordEvacuation records a confirmed evacuation.
@@ -55,7 +69,7 @@
 func (l *Recorder) RecordLostEvacuation(dataCentre string, drained bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.bounds.broken = append(l.bounds.broken, fmt.Sprintf("data centre %s: drained is %t although the opposite was confirmed", dataCentre, drained))
+	l.bounds.add(fmt.Sprintf("drained %s %t", dataCentre, drained), "data centre %s: drained is %t although the opposite was confirmed", dataCentre, drained)
 }
 
 // RecordHomeRun records that a request with a home region ran at a target in a region.
@@ -64,7 +78,7 @@
 	defer l.mu.Unlock()
 	l.bounds.home++
 	if region != homeRegion {
-		l.bounds.broken = append(l.bounds.broken, fmt.Sprintf("request %s left its home region for target %s", id, target))
+		l.bounds.add("home "+target, "request %s left its home region for target %s", id, target)
 	}
 }
 
@@ -76,12 +90,16 @@
 		l.bounds.uploads++
 		return
 	}
-	l.bounds.broken = append(l.bounds.broken, fmt.Sprintf("upload %s ended after %d bytes that are not its body", id, got))
+	l.bounds.add("upload", "upload %s ended after %d bytes that are not its body", id, got)
 }
 
-// violations describes the violated bounds. For each target only the first span with too many requests is reported.
+// violations describes the violated bounds. Of each kind of event only the first, and for each cold target only the first span with too many requests is reported.
 func (b *bounds) violations() []string {
-	broken := slices.Clone(b.broken)
+	var broken []string
+	for _, kind := range sortedKeys(b.events) {
+		e := b.events[kind]
+		broken = append(broken, fmt.Sprintf("%s (%d of this kind)", e.first, e.count))
+	}
 	for _, target := range sortedKeys(b.cold) {
 		if n, ok := most(b.cold[target]); ok {
 			broken = append(broken, fmt.Sprintf("cold target %s got %d requests in %v, %.1f may come", target, n, coldWindow, coldPerSecond*coldExcess+coldSlack))
--- a/internal/faultsoak/cold.go
+++ b/internal/faultsoak/cold.go
@@ -11,7 +11,7 @@
 
 // Times between the moments at which a target becomes cold, and for how long it does at most.
 const (
-	meanCoolInterval = 800 * time.Millisecond
+	meanCoolInterval = 1200 * time.Millisecond
 	minCold          = 500 * time.Millisecond
 	maxCold          = 4 * time.Second
 )
@@ -20,7 +20,7 @@
 func (r *run) coolTargets(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(r.Seed, 3))
 	for clock.Sleep(ctx, time.Duration(rnd.ExpFloat64()*float64(meanCoolInterval))) {
-		n := r.fleet.nodes[rnd.IntN(len(r.fleet.nodes))]
+		n := r.fleet.nodes[controlNodes+rnd.IntN(targetNodes)]
 		d := minCold + time.Duration(rnd.Int64N(int64(maxCold-minCold)))
 		r.changes.Go(func() { n.coldTarget.becomeCold(d) })
 	}
--- a/internal/faultsoak/fleet.go
+++ b/internal/faultsoak/fleet.go
@@ -37,7 +37,7 @@
 	data string
 	// targetProxies forward from the node to the targets on its host.
 	targetProxies []*Proxy
-	// coldTarget is the target of the cold service on its host.
+	// coldTarget is the target of the cold service on its host; nil at hosts with control.
 	coldTarget *target
 	dataCentre string
 	touch      touch
--- a/internal/faultsoak/ledger.go
+++ b/internal/faultsoak/ledger.go
@@ -61,7 +61,7 @@
 
 // NewRecorder returns an empty recorder that checks a rate limit.
 func NewRecorder(limit RateLimit) *Recorder {
-	return &Recorder{limit: limit, bookings: map[string]*booking{}, changes: map[string]bool{}, tries: map[Verdict]int{}, quiet: map[Verdict]int{}, bounds: bounds{cold: map[string][]time.Time{}}}
+	return &Recorder{limit: limit, bookings: map[string]*booking{}, changes: map[string]bool{}, tries: map[Verdict]int{}, quiet: map[Verdict]int{}, bounds: bounds{cold: map[string][]time.Time{}, events: map[string]*events{}}}
 }
 
 // booking returns the booking with an id, and adds it if necessary. The caller holds the lock.
--- a/internal/faultsoak/run.go
+++ b/internal/faultsoak/run.go
@@ -223,6 +223,9 @@
 			return err
 		}
 		r.targets = append(r.targets, t)
+		if i < controlNodes {
+			continue
+		}
 		if n.coldTarget, err = startTarget(ctx, fmt.Sprintf("%s-%d", coldService, i+1), coldService, n, r.recorder, &r.evacuated); err != nil {
 			return err
 		}
--- a/internal/faultsoak/touch.go
+++ b/internal/faultsoak/touch.go
@@ -52,7 +52,7 @@
 			if err := f.start(); err != nil {
 				report(err)
 			}
-			for _, n := range f.nodes {
+			for _, n := range f.nodes[controlNodes:] {
 				n.coldTarget.becomeCold(coldStart)
 			}
 		}
