Judge bodies that come at once together

Cause: a burst of bodies was accepted whole, as none of them had begun when the others were judged, and what only fills empty buffers counted for the rate of a link, which was then too high.

Change: an accepted body counts from then on; writes count for the rate from the first one that blocks after a pause on.

--- a/internal/linkshare/meter.go
+++ b/internal/linkshare/meter.go
@@ -8,6 +8,11 @@
 	slots    = 10
 	// minBusy is the busy time without which the rate is not known. Shorter times measure the buffers of the kernel.
 	minBusy = 200 * time.Millisecond
+	// minStall is the busy time after which a link that has carried nothing counts as one that carries nothing, as a connection counts as silent then.
+	minStall = time.Second
+	// blockedTime is the time from which on a write counts as blocked, and idleTime the time without a write after which buffers count as empty again.
+	blockedTime = time.Millisecond
+	idleTime    = 20 * time.Millisecond
 	// usable is the part of the remaining time in which a body must arrive; the rest is left to the target.
 	usable = 0.9
 	// minRetry and maxRetry bound the time after which the caller of a refused body may try again.
@@ -28,16 +33,27 @@
 	slots [slots]slot
 	// writing is when the write under way began; zero if there is none.
 	writing time.Time
+	// ended is when the last write ended.
+	ended time.Time
+	// full is set by the first write that blocks after the link was idle. What is written before it only fills buffers.
+	full bool
 }
 
 // Begin records the start of a write.
-func (m *Meter) Begin(now time.Time) { m.writing = now }
+func (m *Meter) Begin(now time.Time) {
+	m.writing = now
+	m.full = m.full && now.Sub(m.ended) <= idleTime
+}
 
 // End records the end of the write under way, of n bytes.
 func (m *Meter) End(now time.Time, n int) {
-	m.addBusy(m.writing, now)
-	m.at(now).bytes += int64(n)
+	m.full = m.full || now.Sub(m.writing) >= blockedTime
+	if m.full {
+		m.addBusy(m.writing, now)
+		m.at(now).bytes += int64(n)
+	}
 	m.writing = time.Time{}
+	m.ended = now
 }
 
 // addBusy adds the time between two moments to the slots that it falls into.
@@ -80,7 +96,7 @@
 	if !m.writing.IsZero() && now.After(m.writing) {
 		busy += min(now.Sub(m.writing), slots*slotTime)
 	}
-	if busy < minBusy {
+	if busy < minBusy || bytes == 0 && busy < minStall {
 		return 0, false
 	}
 	return float64(bytes) / busy.Seconds(), true
--- a/internal/linkshare/meter_test.go
+++ b/internal/linkshare/meter_test.go
@@ -59,6 +59,10 @@
 	require.False(t, l.begin(3, l.within(100*time.Millisecond), 360_000).refused, "the link is idle")
 	_, known = l.meter.Rate(l.now.Add(slots * slotTime))
 	require.False(t, known, "the measurement is old")
+	m := &Meter{}
+	m.Begin(l.now)
+	_, known = m.Rate(l.now.Add(500 * time.Millisecond))
+	require.False(t, known, "a pause says nothing about the rate")
 }
 
 // TestLinkThatStallsAndRecovers guards against a link that is refused for good after it carried nothing for a while.
@@ -102,6 +106,61 @@
 	require.Zero(t, s.Ahead(epoch.Add(time.Second), Class{Priority: 2}, 60_000))
 }
 
+// TestBodiesThatComeAtOnceAreJudgedTogether guards against a burst of which all is accepted, as none of its bodies has begun when the others are judged.
+func TestBodiesThatComeAtOnceAreJudgedTogether(t *testing.T) {
+	l := newLink(700_000)
+	l.begin(1, l.within(20*time.Second), 400_000)
+	for range 20 {
+		l.step()
+	}
+	class := l.within(time.Second)
+	accepted := 0
+	for range 40 {
+		if !Judge(l.now, l.schedule, &l.meter, class, 60_000, 0).TooLate {
+			accepted++
+			l.schedule.Expect(l.now, class, 60_000)
+		}
+	}
+	require.InDelta(t, 0.9*700_000/60_000*3/4, accepted, 3, "what the link carries in the usable time, less what the longer body gets")
+	l.now = l.now.Add(2 * activeTime)
+	require.LessOrEqual(t, l.schedule.Ahead(l.now, class, 60_000), int64(l.schedule.Queued()), "those that did not begin are forgotten")
+	l.schedule.Expect(l.now, class, 60_000)
+	require.Len(t, l.schedule.expected, 1)
+	l.schedule.Begin(l.now, 9, class, 60_000)
+	require.Empty(t, l.schedule.expected)
+}
+
+// TestBuffersDontCountAsTheRate guards against a rate that is too high after the link was idle, as the first writes only fill buffers.
+func TestBuffersDontCountAsTheRate(t *testing.T) {
+	m := &Meter{}
+	now := epoch
+	write := func(n int, took time.Duration) {
+		m.Begin(now)
+		now = now.Add(took)
+		m.End(now, n)
+	}
+	for range 10 {
+		for range 8 {
+			write(ChunkBytes, 20*time.Microsecond)
+		}
+		for range 4 {
+			write(7_000, 10*time.Millisecond)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	rate, ok := m.Rate(now)
+	require.True(t, ok)
+	require.InEpsilon(t, 700_000, rate, 0.01)
+	fast := &Meter{}
+	for range 100_000 {
+		fast.Begin(now)
+		now = now.Add(20 * time.Microsecond)
+		fast.End(now, ChunkBytes)
+	}
+	_, ok = fast.Rate(now)
+	require.False(t, ok, "a link on which nothing blocks has no known rate")
+}
+
 // TestRetryAfterFollowsTheEstimate guards against callers that come back much too early or late.
 func TestRetryAfterFollowsTheEstimate(t *testing.T) {
 	v := Verdict{TooLate: true, Arrival: 3 * time.Second, Remaining: 2 * time.Second}
--- a/internal/linkshare/schedule.go
+++ b/internal/linkshare/schedule.go
@@ -1,6 +1,9 @@
 package linkshare
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// ChunkBytes is the largest part of a body that is written at once. A small frame waits behind one chunk: 23 ms on a link of
@@ -21,6 +24,8 @@
 	// unknownLength is the length that counts for a body of unknown length.
 	unknownLength = 256 << 10
 
+	// maxExpected bounds the bodies that were accepted and have not begun.
+	maxExpected = 4096
 	// activeTime is how long a stream without queued bytes still counts as one that sends: its writer prepares the next chunk.
 	activeTime = 250 * time.Millisecond
 )
@@ -86,6 +91,15 @@
 	queued int
 	// taken counts the chunks.
 	taken int
+	// expected are the bodies that were accepted and have not begun, oldest first.
+	expected []expectedBody
+}
+
+// expectedBody is a body that was accepted and has not begun.
+type expectedBody struct {
+	due    time.Time
+	length int64
+	until  time.Time
 }
 
 // NewSchedule returns an empty schedule.
@@ -98,10 +112,25 @@
 	if length < 0 {
 		length = unknownLength
 	}
+	for i, e := range s.expected {
+		if e.length == length {
+			s.expected = slices.Delete(s.expected, i, i+1)
+			break
+		}
+	}
 	f := s.flow(stream)
 	f.due, f.length, f.open, f.active, f.sent = class.due(now), length, true, now, 0
 }
 
+// Expect announces a body that was accepted and begins soon, so that others which come meanwhile are judged with it. One that does not begin
+// is forgotten after activeTime.
+func (s *Schedule) Expect(now time.Time, class Class, length int64) {
+	s.expected = slices.DeleteFunc(s.expected, func(e expectedBody) bool { return e.until.Before(now) })
+	if len(s.expected) < maxExpected {
+		s.expected = append(s.expected, expectedBody{due: class.due(now), length: length, until: now.Add(activeTime)})
+	}
+}
+
 // End announces the end of a stream's body. What is queued of it remains.
 func (s *Schedule) End(stream uint32) {
 	f := s.flows[stream]
@@ -186,6 +215,11 @@
 func (s *Schedule) Ahead(now time.Time, class Class, length int64) int64 {
 	due := class.due(now)
 	before, after := int64(0), int64(0)
+	for _, e := range s.expected {
+		if !e.until.Before(now) && !e.due.After(due) {
+			before += e.length
+		}
+	}
 	for _, f := range s.flows {
 		if f.queued == 0 && now.Sub(f.active) > activeTime {
 			// The body waits for its caller or its receiver and takes nothing of the link.
--- a/internal/node/bodyfleet_test.go
+++ b/internal/node/bodyfleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -295,8 +296,10 @@
 	}
 }
 
-// pace changes how a caller sends its body: it pauses for wait after the first pauseAt bytes, or disconnects there.
+// pace changes how a caller sends its body: it pauses for wait after the first pauseAt bytes, or disconnects there. limit is the time limit of the
+// request instead of 20 s.
 type pace struct {
+	limit      time.Duration
 	pauseAt    int
 	wait       time.Duration
 	disconnect bool
@@ -355,7 +358,8 @@
 	if chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
-	_, _ = fmt.Fprintf(conn, "POST /%s/%s HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: 20000\r\n%s\r\n\r\n", route, p.path(), headers.RequestID, id, headers.TimeoutMs, framing)
+	_, _ = fmt.Fprintf(conn, "POST /%s/%s HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: %d\r\n%s\r\n\r\n", route, p.path(), headers.RequestID, id, headers.TimeoutMs,
+		cmp.Or(pc.limit, 20*time.Second).Milliseconds(), framing)
 	body := bodyPattern(p.size)
 	for sent := 0; sent < p.size; {
 		n := min(16<<10, p.size-sent)
--- a/internal/node/uploads_test.go
+++ b/internal/node/uploads_test.go
@@ -6,12 +6,15 @@
 	"net/http"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/guavaford/guavaford/internal/outcome"
 )
 
 // link is one direction of the link between the nodes. All connections share its rate.
@@ -110,6 +113,48 @@
 	}
 }
 
+// TestUploadsThatCantArriveInTimeAreRefusedAsNotRun guards against uploads that fill a narrowed link and come too late: what is sent in the last 3 s before a
+// time limit takes 5 s on the link. Those that are refused reach no target.
+func TestUploadsThatCantArriveInTimeAreRefusedAsNotRun(t *testing.T) {
+	const first, second, size = 20, 40, 60_000
+	f := newNarrowBodyFleet(t, 2, 700_000)
+	var wg sync.WaitGroup
+	answers := make([]bodyAnswer, first+second)
+	upload := func(i int) {
+		wg.Go(func() {
+			a, err := f.send(t.Context(), "book", fmt.Sprintf("u-%d", i), plan{size: size, refuse: "no", answer: 100, ends: "after"}, false, pace{limit: 3 * time.Second})
+			if assert.NoError(t, err) {
+				answers[i] = a
+			}
+		})
+	}
+	for i := range first {
+		upload(i)
+	}
+	time.Sleep(600 * time.Millisecond)
+	for i := range second {
+		upload(first + i)
+	}
+	wg.Wait()
+	served, refused := 0, 0
+	for i, a := range answers {
+		switch {
+		case a.status == http.StatusOK:
+			served++
+		case strings.Contains(a.problem, string(outcome.LinkTooSlow)):
+			refused++
+			require.Contains(t, a.problem, `"ran":"no"`)
+			require.NotEmpty(t, a.retryAfter)
+			f.mu.Lock()
+			require.Empty(t, f.runs[fmt.Sprintf("u-%d", i)])
+			f.mu.Unlock()
+		}
+	}
+	t.Logf("%d of %d served, %d refused", served, len(answers), refused)
+	require.Positive(t, refused)
+	require.GreaterOrEqual(t, served, first/2)
+}
+
 // BenchmarkSmallCallBesideUploads measures small calls between two nodes beside 50 callers that upload 60,000 bytes again and
 // again, over a link of 200 Mbit/s and one of 5.6 Mbit/s.
 func BenchmarkSmallCallBesideUploads(b *testing.B) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -319,7 +319,7 @@
 	delete(l.waiters, t.StreamID())
 }
 
-// judge estimates whether a body that is sent now arrives in time.
+// judge estimates whether a body that is sent now arrives in time. One that does is expected to begin.
 func (l *linkConn) judge(class linkshare.Class, length int64) linkshare.Verdict {
 	if !l.schedules() {
 		return linkshare.Verdict{}
@@ -330,5 +330,10 @@
 	if l.pending != nil {
 		small += len(*l.pending)
 	}
-	return linkshare.Judge(time.Now(), l.schedule, &l.meter, class, length, small)
+	now := time.Now()
+	verdict := linkshare.Judge(now, l.schedule, &l.meter, class, length, small)
+	if !verdict.TooLate {
+		l.schedule.Expect(now, class, length)
+	}
+	return verdict
 }
