Spread demand evenly between data centres

Cause: a call left its data centre when the targets drawn for it were full. At an even use of 0.7 that made 7% of the calls cross, the share changed direction up to 5 times in a period of uneven demand, and calls were refused while other targets had free slots.

Change: internal/spread decides by the demand of the whole data centre which share of the calls leaves; where they go is drawn by the use of each target elsewhere, averaged over a second. route.Config.EvenSpread turns it on; nothing sets it yet. The model of internal/servicerate plays uneven demand in three data centres over the real pickers and gates.

--- a/internal/route/member.go
+++ b/internal/route/member.go
@@ -8,6 +8,7 @@
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
 	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/spread"
 )
 
 const (
@@ -49,6 +50,8 @@
 	// rateLimitBits holds the rate limit that the target last named, as the bits of a float64.
 	rateLimitBits atomic.Uint64
 	cold          coldStats
+	// farUse is the average use of a target in another data centre.
+	farUse spread.TargetUse
 
 	mu     sync.Mutex
 	health health
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -9,6 +9,7 @@
 	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/outcome"
 	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/spread"
 )
 
 const (
@@ -46,6 +47,11 @@
 	// LearnedCapacity divides calls by the free capacity of the targets, as the gates beside them have learned it,
 	// instead of sending each to the better of two targets.
 	LearnedCapacity bool
+	// EvenSpread decides by the demand of a data centre how many calls leave it, instead of by whether single targets
+	// are full. It has no effect with LearnedCapacity.
+	EvenSpread bool
+	// OnSpread, if set, is called when calls begin or cease to leave by EvenSpread.
+	OnSpread func(SpreadChange)
 	// OnEject, if set, is called for each target that is ejected, with the duration of the ejection.
 	OnEject func(t *registry.Target, pause time.Duration)
 	// CutoffCache is shared by the pickers of a node; nil gives the picker its own.
@@ -57,24 +63,6 @@
 	return Config{SlowStart: DefaultSlowStart, MaxEjected: DefaultMaxEjected, SpillLoad: DefaultSpillLoad}
 }
 
-// Query describes a call for which a target is wanted.
-type Query struct {
-	// Accept filters targets; nil accepts all.
-	Accept func(*registry.Target) bool
-	// Exclude names targets, by ID, that were tried already.
-	Exclude []string
-	// Route and Organisation identify the requests that share a cutoff.
-	Route        string
-	Organisation string
-	// Level is the shedding level of the whole request.
-	Level uint32
-	// warmOnly excludes cold targets.
-	warmOnly bool
-	// Depth is the number of calls above this one in the call tree; 0 for a caller's request. A
-	// sub-call is shed at a higher level than a caller's request, since work was done for it.
-	Depth int
-}
-
 // CallOutcome is the outcome of a call as its caller saw it.
 type CallOutcome int
 
@@ -117,6 +105,7 @@
 	coldUntilNs atomic.Int64
 	// localUse and remoteUse are the shares of the limits in use in this data centre and in the others.
 	localUse, remoteUse smoothedUse
+	spread              spread.Controller
 
 	mu      sync.Mutex
 	tracked map[string]trackedTarget
@@ -254,6 +243,12 @@
 	if probe := p.drawProbe(now, t.local, q, ejected, reference); probe != nil {
 		return probe
 	}
+	spreads := p.spreadsEvenly(t)
+	if spreads {
+		if e := p.chooseRemote(now, q, ejected, reference, t); e != nil {
+			return e
+		}
+	}
 	local := p.betterOfTwo(now, t.local, q, ejected)
 	if local != nil && p.suitable(now, local, q.Route, reference) {
 		return local
@@ -261,6 +256,9 @@
 	if suitable := p.firstSuitable(now, t.local, q, ejected, reference); suitable != nil {
 		return suitable
 	}
+	if spreads && p.staysFor(now, local, q.Route, reference) {
+		return local
+	}
 	remote := p.betterOfTwo(now, t.remote, q, ejected)
 	if remote != nil && !p.suitable(now, remote, q.Route, reference) {
 		if suitable := p.firstSuitable(now, t.remote, q, ejected, reference); suitable != nil {
@@ -358,28 +356,6 @@
 	return nil
 }
 
-// eligible reports whether a call may go to a target.
-func (q *Query) eligible(now int64, e *entry, ejected bool) bool {
-	if now < e.drainingUntilNs.Load() || (!ejected && now < e.ejectedUntilNs.Load()) {
-		return false
-	}
-	if q.warmOnly && e.cold.cold(now) {
-		return false
-	}
-	for _, id := range q.Exclude {
-		if e.hasID(id) {
-			return false
-		}
-	}
-	return q.Accept == nil || q.Accept(e.target)
-}
-
-// hasID reports whether id is the ID of the target, without allocating that ID.
-func (e *entry) hasID(id string) bool {
-	node, name := e.target.Node, e.target.Name
-	return len(id) == len(node)+1+len(name) && id[:len(node)] == node && id[len(node)+1:] == name
-}
-
 // score returns the expected cost of a call at a target: its load per slot times its latency,
 // raised during slow start.
 func (p *Picker) score(now int64, e *entry) float64 {
--- a/internal/servicerate/model_test.go
+++ b/internal/servicerate/model_test.go
@@ -38,6 +38,24 @@
 	stallFor    time.Duration
 	length      time.Duration
 	seed        uint64
+	// centres holds the data centre of each target; nil deals them out in turn.
+	centres []int
+	// demand, if set, replaces wave: it returns the demand of a data centre, whose mean over all is 1, in relation to
+	// perSecond, and peakDemand is its highest value.
+	demand     func(at time.Duration, dataCentre int) float64
+	peakDemand float64
+	// reportEvery, if set, is the interval at which the load reports of other data centres' targets change.
+	reportEvery time.Duration
+	// silent, if set, tells when answers carry no load reports.
+	silent func(at time.Duration) bool
+}
+
+// centre returns the data centre of a target.
+func (l *load) centre(target int) int {
+	if l.centres != nil {
+		return l.centres[target]
+	}
+	return target % l.dataCentres
 }
 
 const (
@@ -118,6 +136,10 @@
 	pickers []*route.Picker
 	targets []*modelTarget
 	result  result
+	// refusedAt, if set, is called for each refused call.
+	refusedAt func(c *modelCall)
+	// chosen, if set, is called for each attempt.
+	chosen func(c *modelCall)
 }
 
 func (m *model) Now() time.Time { return m.now }
@@ -139,6 +161,26 @@
 	busy       time.Duration
 	windowBusy time.Duration
 	waiting    map[*admission.Waiter]*modelCall
+	dataCentre int
+	leaving    bool
+	// reported is the load report that callers in other data centres get until reportUntil.
+	reported    *apiv1.LoadReport
+	reportUntil time.Time
+}
+
+// report returns the load report that an answer carries.
+func (t *modelTarget) report(c *modelCall) *apiv1.LoadReport {
+	m := t.model
+	if m.silent != nil && m.silent(m.now.Sub(m.start)) {
+		return nil
+	}
+	if m.reportEvery == 0 || c.link == nearLink || t.leaving {
+		return t.gate.LoadForRoute(m.now, "", c.route).Message()
+	}
+	if !m.now.Before(t.reportUntil) {
+		t.reported, t.reportUntil = t.gate.LoadForRoute(m.now, "", c.route).Message(), m.now.Add(m.reportEvery)
+	}
+	return t.reported
 }
 
 // count adds the slot time since the last change.
@@ -168,11 +210,11 @@
 	var records []*registry.Target
 	admit.Slots, admit.FixedLimit, admit.NoShedding = l.slots, true, true
 	for i, speed := range l.speeds {
-		record := &registry.Target{Name: "t", Service: "s", Node: fmt.Sprint("node-", i), DataCentre: fmt.Sprint("dc-", i%l.dataCentres),
+		record := &registry.Target{Name: "t", Service: "s", Node: fmt.Sprint("node-", i), DataCentre: fmt.Sprint("dc-", l.centre(i)),
 			Slots: l.slots, State: apiv1.TargetState_TARGET_STATE_READY}
 		records = append(records, record)
 		m.targets = append(m.targets, &modelTarget{model: m, record: record, gate: admission.NewStateMachine(admit), speed: speed,
-			changed: m.now, waiting: map[*admission.Waiter]*modelCall{}})
+			dataCentre: l.centre(i), changed: m.now, waiting: map[*admission.Waiter]*modelCall{}})
 	}
 	for i := range l.hosts {
 		p := route.NewPicker(choose, fmt.Sprint("dc-", i%l.dataCentres), m, l.seed*1000+uint64(i))
@@ -253,8 +295,14 @@
 // arrive begins a call now and then, at a host of which each data centre has as many.
 func (m *model) arrive() {
 	peak := m.perSecond * (1 + m.wave)
+	if m.demand != nil {
+		peak = m.perSecond * m.peakDemand
+	}
 	m.after(time.Duration(m.rnd.ExpFloat64()/peak*float64(time.Second)), m.arrive)
 	host := m.rnd.IntN(m.hosts)
+	if m.demand != nil && m.rnd.Float64()*m.peakDemand > m.demand(m.now.Sub(m.start), host%m.dataCentres) {
+		return
+	}
 	if m.wave > 0 {
 		phase := m.now.Sub(m.start).Seconds()/m.wavePeriod.Seconds() + float64(host%m.dataCentres)/float64(m.dataCentres)
 		if m.rnd.Float64()*(1+m.wave) > 1+m.wave*math.Sin(2*math.Pi*phase) {
@@ -272,14 +320,17 @@
 func (m *model) call(c *modelCall) {
 	choice, refusal := m.pickers[c.host].Pick(route.Query{Route: c.route, Exclude: c.tried})
 	if refusal != nil {
-		m.refuse()
+		m.refuse(c)
 		return
 	}
 	i := slices.IndexFunc(m.targets, func(t *modelTarget) bool { return t.record == choice.Target() })
 	c.target, c.choice, c.link = m.targets[i], choice, nearLink
-	if c.host%m.dataCentres != i%m.dataCentres {
+	if c.host%m.dataCentres != c.target.dataCentre {
 		c.link = farLink
 	}
+	if m.chosen != nil {
+		m.chosen(c)
+	}
 	if m.warm() {
 		if len(c.tried) == 0 {
 			m.result.calls++
@@ -293,9 +344,13 @@
 	m.after(c.link, c.reach)
 }
 
-func (m *model) refuse() {
-	if m.warm() {
-		m.result.refused++
+func (m *model) refuse(c *modelCall) {
+	if !m.warm() {
+		return
+	}
+	m.result.refused++
+	if m.refusedAt != nil {
+		m.refusedAt(c)
 	}
 }
 
@@ -363,23 +418,24 @@
 	c.answer(route.Success)
 }
 
-// refused tells the caller that the call did not run. It is sent to another target if it was to wait briefly only.
+// refused tells the caller that the call did not run. It is sent to another target if it was to wait briefly only, or if
+// its target leaves.
 func (c *modelCall) refused() {
 	m := c.target.model
 	c.answer(route.Refused)
-	if c.choice.QueueWait() == 0 || len(c.tried) > 0 {
-		m.refuse()
+	if !c.target.leaving && (c.choice.QueueWait() == 0 || len(c.tried) > 0) {
+		m.refuse(c)
 		return
 	}
 	m.after(c.link, func() {
-		m.call(&modelCall{host: c.host, begun: c.begun, route: c.route, tried: []string{c.target.record.ID()}})
+		m.call(&modelCall{host: c.host, begun: c.begun, route: c.route, tried: append(c.tried, c.target.record.ID())})
 	})
 }
 
 // answer brings the load report and the outcome to the caller.
 func (c *modelCall) answer(o route.CallOutcome) {
 	m := c.target.model
-	report := c.target.gate.LoadForRoute(m.now, "", c.route).Message()
+	report := c.target.report(c)
 	choice := c.choice
 	m.after(c.link, func() {
 		took := m.now.Sub(c.begun)
