Turn even spread on behind the direct entry

Cause: demand that moves between data centres made calls leave by chance and swing, see docs/design/uneven-demand.md.

Change: the direct entry sets route.Config.EvenSpread unless the feature even-spread is disabled. Lines "calls leave the data centre" and "calls stay in the data centre again", counters.crossed and gauges.spread_share tell of it. Calls with large bodies leave less often. TestCallsStayInTheirDataCentreWhileItHasRoom describes the choice without even spread (a load that stays the same however many calls leave) and keeps its bounds with the feature disabled; TestOnlyExcessCallsLeaveTheDataCentre checks the choice with it.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -101,6 +101,7 @@
 		Depth:        origin.Depth,
 		Route:        origin.Route,
 		Organisation: origin.Organisation,
+		BodyBytes:    c.request.Body.Length(),
 	})
 	if refusal != nil && refusal.Code == outcome.NoTarget && c.request.HomeRegions.Restricted() {
 		c.dispatcher.o.Metrics.HomeRegionRefusals.Add(1)
@@ -186,6 +187,7 @@
 	c.attempts++
 	c.tried = append(c.tried, target.ID())
 	d.o.Metrics.Attempts.Add(1)
+	d.countCrossing(target)
 	if c.attempts > 1 {
 		d.o.Metrics.ExtraAttempts.Add(1)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -198,6 +198,7 @@
 		d.o.Log.Info("target ejected", "service", t.Service, "target", t.ID(), "pause", pause)
 		go d.withdrawFrom(s, t)
 	}
+	cfg.OnSpread = func(change route.SpreadChange) { d.logSpread(name, change) }
 	s = &service{
 		picker: route.NewPicker(cfg, d.o.DataCentre, d.o.Clock, rand.Uint64()),
 		budget: retry.NewBudget(retry.DefaultBudgetRatio, retry.DefaultBudgetBurst),
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -34,6 +34,8 @@
 	LearnedCapacity Name = "learned-capacity"
 	// SpillWhenFull sends calls from a full data centre to another with a shorter queue.
 	SpillWhenFull Name = "full-spill"
+	// EvenSpread decides by the demand of a data centre how many calls leave it.
+	EvenSpread Name = "even-spread"
 	// Ejection avoids targets that fail repeatedly.
 	Ejection Name = "ejection"
 	// SlowStart raises the load of new targets gradually.
@@ -59,6 +61,7 @@
 	{SlowTargets, "avoid slow targets"},
 	{LearnedCapacity, "divide calls among targets by what each is learned to handle well"},
 	{SpillWhenFull, "send calls from a full data centre to another with a shorter queue"},
+	{EvenSpread, "decide by the demand of a data centre how many calls leave it, not by single full targets"},
 	{Ejection, "avoid targets that fail repeatedly"},
 	{SlowStart, "raise the load of new targets gradually"},
 	{CrashQuarantine, "run requests that were in flight when targets crashed on trial, and refuse those that crash them"},
--- a/internal/node/direct_test.go
+++ b/internal/node/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -39,11 +40,13 @@
 func TestFeaturesTurnOffTheirPartOfRouting(t *testing.T) {
 	all := routeWithout(t)
 	require.True(t, all.ScanAllTargets)
+	require.True(t, all.EvenSpread)
 	require.Positive(t, all.SlowRatio)
 	require.Positive(t, all.FullSpillRatio)
 	require.Positive(t, all.MaxEjected)
 	require.Positive(t, all.SlowStart)
 	require.False(t, routeWithout(t, feature.ScanAllTargets).ScanAllTargets)
+	require.False(t, routeWithout(t, feature.EvenSpread).EvenSpread)
 	require.Zero(t, routeWithout(t, feature.SlowTargets).SlowRatio)
 	require.Zero(t, routeWithout(t, feature.SpillWhenFull).FullSpillRatio)
 	require.Zero(t, routeWithout(t, feature.Ejection).MaxEjected)
@@ -59,12 +62,12 @@
 	return targets
 }
 
-// TestCallsStayInTheirDataCentreWhileItHasRoom guards against calls that leave their data centre too early. Even under
-// moderate load targets differ in speed, so that some are at three quarters of their limit most of the time; calls
+// TestCallsStayInTheirDataCentreWhileItHasRoom guards against calls that leave their data centre too early, without even
+// spread. Even under moderate load targets differ in speed, so that some are at three quarters of their limit most of the time; calls
 // stay in the data centre until its targets are almost full.
 func TestCallsStayInTheirDataCentreWhileItHasRoom(t *testing.T) {
 	for inFlight, stays := range map[uint32]bool{10: true, 22: true, 28: false} {
-		p := route.NewPicker(routeWithout(t), "near", clock.System{}, 1)
+		p := route.NewPicker(routeWithout(t, feature.EvenSpread), "near", clock.System{}, 1)
 		p.Update(nearAndFar())
 		counts := map[string]int{}
 		for range 200 {
@@ -83,6 +86,31 @@
 	}
 }
 
+// TestOnlyExcessCallsLeaveTheDataCentre guards against calls that leave their data centre too early, or stay although it is short, with
+// even spread: the calls that leave are missing in the load of the target nearby.
+func TestOnlyExcessCallsLeaveTheDataCentre(t *testing.T) {
+	for demand, leaves := range map[float64][2]int{10: {0, 0}, 22: {0, 0}, 26: {0, 0}, 36: {60, 200}, 54: {180, 340}} {
+		synctest.Test(t, func(t *testing.T) {
+			p := route.NewPicker(routeWithout(t), "near", clock.System{}, 1)
+			p.Update(nearAndFar())
+			counts := map[string]int{}
+			for i := range 3000 {
+				time.Sleep(time.Millisecond)
+				choice, refusal := p.Pick(route.Query{})
+				require.Nil(t, refusal)
+				name := choice.Target().Name
+				if i >= 2400 {
+					counts[name]++
+				}
+				load := map[string]float64{"near": demand * (1 - p.SpreadShare()), "far": 3}[name]
+				choice.Done(route.Observation{Outcome: route.Success, Latency: 10 * time.Millisecond, Load: &apiv1.LoadReport{InFlight: uint32(load), Limit: 30}})
+			}
+			require.GreaterOrEqual(t, counts["far"], leaves[0], "demand for %v of 30", demand)
+			require.LessOrEqual(t, counts["far"], leaves[1], "demand for %v of 30", demand)
+		})
+	}
+}
+
 // TestIsolatedNodeTakesASmallPartOfItsShare guards against more repeats than a service may get while nodes are cut off: the others drop
 // them from the registry and divide their shares among themselves.
 func TestIsolatedNodeTakesASmallPartOfItsShare(t *testing.T) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -71,6 +71,7 @@
 	m.SetGauge("queued", func() float64 { return p.sumTargets(func(t operator.LocalTarget) int { return t.Queued }) })
 	m.SetGauge("drained_data_centres", func() float64 { return float64(len(p.board.Configuration.Load().Snapshot.DrainedDataCentres())) })
 	m.SetGauge("drained_targets", func() float64 { return float64(p.drainedTargets.Load()) })
+	m.SetGauge("spread_share", p.dispatcher.SpreadShare)
 	m.SetGauge("learned_limit", p.learnedLimit)
 	m.SetGauge("target_slowdown", p.maxSlowdown)
 	p.setControlGauges()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -26,6 +26,8 @@
 	InvalidAnswers atomic.Int64
 	// MovedCalls counts calls that were sent to another target since the first had a queue while others had room.
 	MovedCalls atomic.Int64
+	// CrossedAttempts counts attempts that were sent to a target of another data centre.
+	CrossedAttempts atomic.Int64
 	// Executions counts requests that were sent to a target of this host.
 	Executions atomic.Int64
 	// Fences counts guarantees given to other nodes that a call was not started and never will be.
@@ -119,6 +121,7 @@
 			"withdrawn":       m.Withdrawn.Load(),
 			"invalid_answers": m.InvalidAnswers.Load(),
 			"moved_calls":     m.MovedCalls.Load(),
+			"crossed":         m.CrossedAttempts.Load(),
 			"executions":      m.Executions.Load(),
 			"fences":          m.Fences.Load(),
 			"attaches":        m.Attaches.Load(),
