Test cold targets and data centres with even spread

Cause: the two models copy the direct entry's settings of the picker, which have got even spread.

Change: they set it too; bounds stay as they are.

--- a/internal/dispatch/coldworld_test.go
+++ b/internal/dispatch/coldworld_test.go
@@ -240,6 +240,7 @@
 	require.NoError(f.t, err)
 	config := route.DefaultConfig()
 	config.SpillLoad, config.FullSpillRatio, config.SlowRatio, config.SlowStart, config.ScanAllTargets = 0.85, 0.5, 2.5, 3*time.Second, true
+	config.EvenSpread = true
 	return &coldCaller{shedder: shed.NewShedder(tracker, shed.Options{}), dispatcher: New(Options{
 		Identity: peer.Identity{Node: node, Incarnation: 1}, DataCentre: "dc", Sender: f, Directory: anyService{}, Board: b,
 		Clock: clock.System{}, Metrics: telemetry.NewMetrics(), Log: telemetry.Discard(), LogLimiter: telemetry.NewLogLimiter(100),
--- a/internal/shed/zones_test.go
+++ b/internal/shed/zones_test.go
@@ -85,6 +85,7 @@
 	config := route.DefaultConfig()
 	config.SpillLoad = 0.6
 	config.FullSpillRatio = 0.5
+	config.EvenSpread = true
 	for i := range entriesPerZone * len(serviceTimes) {
 		zone := i % len(serviceTimes)
 		relay := NewLoadTracker()
