Stop reading a failed body in the tests of bodies

Cause: net/http returns io.EOF for a body that is read again after an unexpected end.

Change: reading ends with the first error, as in targets.

--- a/internal/node/bodyfleet_test.go
+++ b/internal/node/bodyfleet_test.go
@@ -78,6 +78,8 @@
 	received int
 	// same is set if what was received is the start of the caller's body, whole if it ended well-formed.
 	same, whole bool
+	// failed is set once reading has failed: net/http ends a body with io.EOF if it is read again after that.
+	failed bool
 	// done is closed when nothing more is received.
 	done chan struct{}
 }
@@ -282,17 +284,14 @@
 // read reads up to limit bytes more of the body and compares them.
 func (r *bodyRun) read(body io.Reader, want []byte, limit int) {
 	part := make([]byte, 16<<10)
-	for limit > 0 && !r.whole {
+	for limit > 0 && !r.whole && !r.failed {
 		n, err := body.Read(part[:min(limit, len(part))])
 		limit -= n
 		if r.received+n > len(want) || !bytes.Equal(part[:n], want[min(r.received, len(want)):min(r.received+n, len(want))]) {
 			r.same = false
 		}
 		r.received += n
-		r.whole = err == io.EOF
-		if err != nil {
-			return
-		}
+		r.whole, r.failed = err == io.EOF, err != nil
 	}
 }
 
