--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -26,6 +26,11 @@
 // on it. The dialling side pings while exchanges are in flight, and cancels exchanges;
 // the accepting side answers pings, and announces that it is stopping (GoAway).
 //
+// # Order of frames
+//
+// Over yamux, small frames go before bodies, and bodies go in the order that package linkshare decides, in chunks. The socket holds few
+// unsent bytes, so that what waits can be ordered. Pool.Call fails with a LateBodyError, and sends nothing, if a body can't arrive in time.
+//
 // # Silent connections
 //
 // A connection can stop carrying bytes without being reset; such a connection is called
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
@@ -294,3 +295,37 @@
 	_ = c.gatedConn.Close()
 	return c.Conn.Close()
 }
+
+// TestEndsNeedNotAgreeOnTheOrder guards against nodes that don't understand each other if only one of them has the scheduler disabled.
+func TestEndsNeedNotAgreeOnTheOrder(t *testing.T) {
+	off := []YamuxOption{WithoutLinkSharing()}
+	for name, options := range map[string][2][]YamuxOption{"server": {off, nil}, "client": {nil, off}, "both": {off, off}} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := NewPlaintextYamux(options[0]...).Listen("127.0.0.1:0")
+			require.NoError(t, err)
+			server := NewServer(Identity{Node: "b", Incarnation: 2}, ServerOptions{})
+			server.HandleCall(echo)
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(listener) }()
+			pool := NewPool(Identity{Node: "a", Incarnation: 1}, NewPlaintextYamux(options[1]...), PoolOptions{Seed: 1})
+			var calls sync.WaitGroup
+			for i := range 8 {
+				calls.Go(func() {
+					want := bytes.Repeat([]byte{byte(i + 1)}, 1<<20)
+					answer, err := pool.Call(t.Context(), listener.Addr(), newCall(uint64(i), len(want)), lend(bytes.NewReader(want)))
+					if !assert.NoError(t, err) {
+						return
+					}
+					got, err := io.ReadAll(answer.Body)
+					assert.NoError(t, err)
+					assert.True(t, bytes.Equal(want, got))
+					assert.NoError(t, answer.Body.Close())
+				})
+			}
+			calls.Wait()
+			pool.Close()
+			server.Close()
+			require.NoError(t, <-served)
+		})
+	}
+}
