--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -28,6 +28,7 @@
 			&cli.StringFlag{Name: "metrics-path", Value: "metrics", Destination: &o.MetricsPath, Usage: "path of the metrics"},
 			&cli.StringFlag{Name: "log-level", Value: "info", Destination: &o.LogLevel, Usage: "debug, info, warn or error"},
 			&cli.BoolFlag{Name: "learn-capacity", Destination: &o.LearnCapacity, Usage: "divide calls among the targets of a service by what each is learned to handle well"},
+			&cli.BoolFlag{Name: "spread-demand", Destination: &o.SpreadDemand, Usage: "decide by the demand of a data centre how many calls leave it"},
 			&cli.StringSliceFlag{Name: "disable", Destination: &disable, Usage: "features to turn off, separated by commas"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
--- a/internal/node/direct.go
+++ b/internal/node/direct.go
@@ -51,7 +51,7 @@
 	config.SpillLoad = directSpillLoad
 	config.FullSpillRatio = directFullSpillRatio
 	config.SlowRatio = directSlowRatio
-	config.EvenSpread = p.env.features.On(feature.EvenSpread)
+	config.EvenSpread = p.env.settings.SpreadDemand && p.env.features.On(feature.EvenSpread)
 	config.ScanAllTargets = p.env.features.On(feature.ScanAllTargets)
 	if config.LearnedCapacity = p.learnsCapacity(); config.LearnedCapacity {
 		config.SlowRatio = learnedSlowRatio
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -33,6 +33,7 @@
 	flagStopTimeout       = "stop-timeout"
 	flagLogLevel          = "log-level"
 	flagLearnCapacity     = "learn-capacity"
+	flagSpreadDemand      = "spread-demand"
 	flagDisable           = "disable"
 )
 
@@ -62,6 +63,8 @@
 		text(flagLogLevel, &n.LogLevel, "debug, info, warn or error"),
 		&cli.BoolFlag{Name: flagLearnCapacity, Destination: &n.LearnCapacity, Value: n.LearnCapacity, Sources: source(flagLearnCapacity),
 			Usage: "divide calls among the targets of a service by what each is learned to handle well"},
+		&cli.BoolFlag{Name: flagSpreadDemand, Destination: &n.SpreadDemand, Value: n.SpreadDemand, Sources: source(flagSpreadDemand),
+			Usage: "decide by the demand of a data centre how many calls leave it"},
 		list(flagDisable, &n.Disable, "features to turn off, separated by commas: "+strings.Join(feature.Names(), ", ")),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -94,6 +94,8 @@
 	MaxConnections int
 	// LearnCapacity divides calls among targets by what each is learned to handle well.
 	LearnCapacity bool
+	// SpreadDemand decides by the demand of a data centre how many calls leave it.
+	SpreadDemand bool
 	// Disable lists the names of features to turn off.
 	Disable []string
 	// MemoryLimit is the memory in bytes below which the process should stay; 0 sets no limit.
