--- a/internal/dispatch/latebody_test.go
+++ b/internal/dispatch/latebody_test.go
@@ -34,7 +34,8 @@
 	}
 }
 
-// TestBodyThatCantArriveInTimeAnywhereIsRefusedAsNotRun guards against a caller that is told another reason, an unknown outcome, or no time for a retry.
+// TestBodyThatCantArriveInTimeAnywhereIsRefusedAsNotRun guards against a caller that is told another reason, an unknown outcome, or no time
+// for a retry.
 func TestBodyThatCantArriveInTimeAnywhereIsRefusedAsNotRun(t *testing.T) {
 	for name, change := range map[string]func(r *Request){"bounded by targets": bounded(1, false), "bounded by the allowance": func(*Request) {}} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -13,8 +13,9 @@
 )
 
 // moveOn reports whether the request goes on to another target at once since its target took no new work before it got the request: it
-// drains, was removed or replaced, or this node has ejected it and withdrew the request; or since the body can't reach its host in time. That attempt counts neither as one nor as a repeat,
-// whether the request was queued there or came too late. As each target is tried once, their number bounds the moves.
+// drains, was removed or replaced, or this node has ejected it and withdrew the request; or since the body can't reach its host in time.
+// That attempt counts neither as one nor as a repeat, whether the request was queued there or came too late. As each target is tried once,
+// their number bounds the moves.
 func (c *call) moveOn(ctx context.Context, choice route.Choice, r *outcome.Refusal) bool {
 	if r == nil || r.Code != outcome.TargetLeaving && r.Code != outcome.LinkTooSlow && !c.withdrawn || r.Ran != outcome.RanNo || r.Reached || r.Retried {
 		return false
@@ -33,8 +34,8 @@
 	return true
 }
 
-// lastAfterMove returns the answer that the caller gets if no target is left after a move: that of a body that can't arrive in time gives the
-// reason, while all other moves leave it to the choice of targets.
+// lastAfterMove returns the answer that the caller gets if no target is left after a move: that of a body that can't arrive in time gives
+// the reason, while all other moves leave it to the choice of targets.
 func lastAfterMove(last, moved *gate.Answer) *gate.Answer {
 	if last == nil && moved.Refusal().Code == outcome.LinkTooSlow {
 		return moved
--- a/internal/faultsoak/bounds.go
+++ b/internal/faultsoak/bounds.go
@@ -93,7 +93,8 @@
 	l.bounds.add("upload", "upload %s ended after %d bytes that are not its body", id, got)
 }
 
-// violations describes the violated bounds. Of each kind of event only the first, and for each cold target only the first span with too many requests is reported.
+// violations describes the violated bounds. Of each kind of event only the first, and for each cold target only the first span with too
+// many requests is reported.
 func (b *bounds) violations() []string {
 	var broken []string
 	for _, kind := range sortedKeys(b.events) {
--- a/internal/faultsoak/bounds_test.go
+++ b/internal/faultsoak/bounds_test.go
@@ -60,7 +60,8 @@
 	require.False(t, c.counts(now.Add(2*time.Second)))
 }
 
-// TestEvacuationsAreCheckedWhileInForce guards against a check that ends too early, or goes on when an evacuation is taken back or a node can't know of it.
+// TestEvacuationsAreCheckedWhileInForce guards against a check that ends too early, or goes on when an evacuation is taken back or a node
+// can't know of it.
 func TestEvacuationsAreCheckedWhileInForce(t *testing.T) {
 	now := time.Unix(100, 0)
 	e := evacuated{since: map[string]time.Time{}}
--- a/internal/faultsoak/plan.go
+++ b/internal/faultsoak/plan.go
@@ -29,7 +29,8 @@
 	ResetCallers Kind = "reset-callers"
 	DelayTargets Kind = "delay-targets"
 	ResetTargets Kind = "reset-targets"
-	// LosePower kills all processes at once and starts them again after the duration of the fault. All targets of the cold service are cold then.
+	// LosePower kills all processes at once and starts them again after the duration of the fault. All targets of the cold service are cold
+	// then.
 	LosePower Kind = "lose-power"
 )
 
--- a/internal/faultsoak/target.go
+++ b/internal/faultsoak/target.go
@@ -135,8 +135,8 @@
 	t.announce(ctx)
 }
 
-// ServeHTTP runs a request: /book/ID, /look/ID, /limited/ID, /upload/ID, /home/ID, /cold/ID or /inner/ID. Before it answers, a target of the front
-// service makes a sub-call to the back service for /book and /look.
+// ServeHTTP runs a request: /book/ID, /look/ID, /limited/ID, /upload/ID, /home/ID, /cold/ID or /inner/ID. Before it answers, a target of
+// the front service makes a sub-call to the back service for /book and /look.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if left := t.leftAt.Load(); left != 0 && time.Since(time.Unix(0, left)) > leaveTimeout {
 		t.recorder.RecordRunAfterLeave(t.name)
--- a/internal/linkshare/meter.go
+++ b/internal/linkshare/meter.go
@@ -8,9 +8,11 @@
 	slots    = 10
 	// minBusy is the busy time without which the rate is not known. Shorter times measure the buffers of the kernel.
 	minBusy = 200 * time.Millisecond
-	// minStall is the busy time after which a link that has carried nothing counts as one that carries nothing, as a connection counts as silent then.
+	// minStall is the busy time after which a link that has carried nothing counts as one that carries nothing, as a connection counts as
+	// silent then.
 	minStall = time.Second
-	// blockedTime is the time from which on a write counts as blocked, and idleTime the time without a write after which buffers count as empty again.
+	// blockedTime is the time from which on a write counts as blocked, and idleTime the time without a write after which buffers count as
+	// empty again.
 	blockedTime = time.Millisecond
 	idleTime    = 20 * time.Millisecond
 	// usable is the part of the remaining time in which a body must arrive; the rest is left to the target.
@@ -115,8 +117,8 @@
 	Remaining time.Duration
 }
 
-// Judge estimates whether a body of a length arrives before the deadline of its call behind what waits for the connection, with small bytes of
-// small frames among it. A body on a link whose rate is not known, or that is idle, is never too late.
+// Judge estimates whether a body of a length arrives before the deadline of its call behind what waits for the connection, with small bytes
+// of small frames among it. A body on a link whose rate is not known, or that is idle, is never too late.
 func Judge(now time.Time, s *Schedule, m *Meter, class Class, length int64, small int) Verdict {
 	v := Verdict{}
 	if class.Deadline.IsZero() || length <= 0 || s.Queued() == 0 {
--- a/internal/linkshare/meter_test.go
+++ b/internal/linkshare/meter_test.go
@@ -12,8 +12,8 @@
 	return Class{Priority: 2, Deadline: l.now.Add(left)}
 }
 
-// TestBodyThatCantArriveInTimeIsRefused guards against bodies that take the link from others and then come too late, and against the refusal of
-// those that arrive in time: every upload that was accepted does.
+// TestBodyThatCantArriveInTimeIsRefused guards against bodies that take the link from others and then come too late, and against the
+// refusal of those that arrive in time: every upload that was accepted does.
 func TestBodyThatCantArriveInTimeIsRefused(t *testing.T) {
 	l := newLink(700_000)
 	var all []*upload
@@ -106,7 +106,8 @@
 	require.Zero(t, s.Ahead(epoch.Add(time.Second), Class{Priority: 2}, 60_000))
 }
 
-// TestBodiesThatComeAtOnceAreJudgedTogether guards against a burst of which all is accepted, as none of its bodies has begun when the others are judged.
+// TestBodiesThatComeAtOnceAreJudgedTogether guards against a burst of which all is accepted, as none of its bodies has begun when the
+// others are judged.
 func TestBodiesThatComeAtOnceAreJudgedTogether(t *testing.T) {
 	l := newLink(700_000)
 	l.begin(1, l.within(20*time.Second), 400_000)
--- a/internal/linkshare/schedule.go
+++ b/internal/linkshare/schedule.go
@@ -122,8 +122,8 @@
 	f.due, f.length, f.open, f.active, f.sent = class.due(now), length, true, now, 0
 }
 
-// Expect announces a body that was accepted and begins soon, so that others which come meanwhile are judged with it. One that does not begin
-// is forgotten after activeTime.
+// Expect announces a body that was accepted and begins soon, so that others which come meanwhile are judged with it. One that does not
+// begin is forgotten after activeTime.
 func (s *Schedule) Expect(now time.Time, class Class, length int64) {
 	s.expected = slices.DeleteFunc(s.expected, func(e expectedBody) bool { return e.until.Before(now) })
 	if len(s.expected) < maxExpected {
@@ -210,8 +210,8 @@
 	return stream, chunk, true
 }
 
-// Ahead estimates how many bytes of other bodies are sent before the last byte of a new one of a length: all of those that are due before, and
-// of the others what the chunks for short bodies can give them meanwhile.
+// Ahead estimates how many bytes of other bodies are sent before the last byte of a new one of a length: all of those that are due before,
+// and of the others what the chunks for short bodies can give them meanwhile.
 func (s *Schedule) Ahead(now time.Time, class Class, length int64) int64 {
 	due := class.due(now)
 	before, after := int64(0), int64(0)
--- a/internal/linkshare/schedule_test.go
+++ b/internal/linkshare/schedule_test.go
@@ -97,8 +97,8 @@
 	l.smallAt = at
 }
 
-// TestSmallFramesAndUploadsOnANarrowedLink guards against the load that the package responds to: 50 uploads of 60,000 bytes and small frames on a
-// link of 5.6 Mbit/s. A small frame waits for the chunk before it, and a short upload that comes late is not behind all others.
+// TestSmallFramesAndUploadsOnANarrowedLink guards against the load that the package responds to: 50 uploads of 60,000 bytes and small
+// frames on a link of 5.6 Mbit/s. A small frame waits for the chunk before it, and a short upload that comes late is not behind all others.
 func TestSmallFramesAndUploadsOnANarrowedLink(t *testing.T) {
 	const rate = 700_000
 	l := newLink(rate)
@@ -124,7 +124,8 @@
 	}
 }
 
-// TestImportanceAndRemainingTimeDecideTheShare guards against bodies that share a link alike although one is more important, or has less time.
+// TestImportanceAndRemainingTimeDecideTheShare guards against bodies that share a link alike although one is more important, or has less
+// time.
 func TestImportanceAndRemainingTimeDecideTheShare(t *testing.T) {
 	l := newLink(700_000)
 	soon, late := epoch.Add(2*time.Second), epoch.Add(8*time.Second)
@@ -151,7 +152,8 @@
 	}
 }
 
-// TestStreamsKeepTheirOrder guards against frames of a stream that overtake each other, against lost frames, and against queues beyond their bounds.
+// TestStreamsKeepTheirOrder guards against frames of a stream that overtake each other, against lost frames, and against queues beyond
+// their bounds.
 func TestStreamsKeepTheirOrder(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	s := NewSchedule()
--- a/internal/node/bodyfleet_test.go
+++ b/internal/node/bodyfleet_test.go
@@ -295,8 +295,8 @@
 	}
 }
 
-// pace changes how a caller sends its body: it pauses for wait after the first pauseAt bytes, or disconnects there. limit is the time limit of the
-// request instead of 20 s.
+// pace changes how a caller sends its body: it pauses for wait after the first pauseAt bytes, or disconnects there. limit is the time limit
+// of the request instead of 20 s.
 type pace struct {
 	limit      time.Duration
 	pauseAt    int
--- a/internal/node/uploads_test.go
+++ b/internal/node/uploads_test.go
@@ -113,8 +113,8 @@
 	}
 }
 
-// TestUploadsThatCantArriveInTimeAreRefusedAsNotRun guards against uploads that fill a narrowed link and come too late: what is sent in the last 3 s before a
-// time limit takes 5 s on the link. Those that are refused reach no target.
+// TestUploadsThatCantArriveInTimeAreRefusedAsNotRun guards against uploads that fill a narrowed link and come too late: what is sent in the
+// last 3 s before a time limit takes 5 s on the link. Those that are refused reach no target.
 func TestUploadsThatCantArriveInTimeAreRefusedAsNotRun(t *testing.T) {
 	const first, second, size = 20, 40, 60_000
 	f := newNarrowBodyFleet(t, 2, 700_000)
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -88,8 +88,8 @@
 	return list
 }
 
-// TestSmallFramesGoBeforeBodies guards against small frames that wait for bodies, against the end of a stream that overtakes its data, and against data
-// that is taken for a header.
+// TestSmallFramesGoBeforeBodies guards against small frames that wait for bodies, against the end of a stream that overtakes its data, and
+// against data that is taken for a header.
 func TestSmallFramesGoBeforeBodies(t *testing.T) {
 	conn := newGatedConn()
 	stats := &LinkStats{}
@@ -198,8 +198,8 @@
 	return time.Since(began), err
 }
 
-// TestSmallCallsBesideUploadsOnANarrowedLink guards against small calls and pings that wait for the bodies of 50 uploads, and against a connection that
-// counts as silent for that: the uploads take 4.3 s.
+// TestSmallCallsBesideUploadsOnANarrowedLink guards against small calls and pings that wait for the bodies of 50 uploads, and against a
+// connection that counts as silent for that: the uploads take 4.3 s.
 func TestSmallCallsBesideUploadsOnANarrowedLink(t *testing.T) {
 	transport := newYamuxTransport(nil, nil)
 	pool, address := startSlow(t, 700_000, PoolOptions{Seed: 1}, transport)
@@ -224,7 +224,8 @@
 	require.Zero(t, transport.stats.Queued.Load())
 }
 
-// TestBodyThatCantArriveInTimeIsNotSent guards against a body that is sent although it can't arrive in time, and against a call that counts as sent then.
+// TestBodyThatCantArriveInTimeIsNotSent guards against a body that is sent although it can't arrive in time, and against a call that counts
+// as sent then.
 func TestBodyThatCantArriveInTimeIsNotSent(t *testing.T) {
 	for _, disabled := range []bool{false, true} {
 		transport := newYamuxTransport(nil, nil)
--- a/internal/peer/yamux.go
+++ b/internal/peer/yamux.go
@@ -29,7 +29,8 @@
 	return func(t *yamuxTransport) { t.stats = stats }
 }
 
-// WithoutLinkSharing sends the frames of all streams in the order in which they are written. It takes precedence over the options before it.
+// WithoutLinkSharing sends the frames of all streams in the order in which they are written. It takes precedence over the options before
+// it.
 func WithoutLinkSharing() YamuxOption {
 	return func(t *yamuxTransport) { t.stats = nil }
 }
--- a/internal/peer/yamuxsession.go
+++ b/internal/peer/yamuxsession.go
@@ -14,8 +14,8 @@
 
 // yamuxSession is a Session over yamux.
 //
-// From the moment at which yamux shuts a session down until it has closed a stream of it, a read of that stream does not block: it loops until
-// another goroutine has closed the stream. Reads are therefore given a deadline in the past first, which ends them.
+// From the moment at which yamux shuts a session down until it has closed a stream of it, a read of that stream does not block: it loops
+// until another goroutine has closed the stream. Reads are therefore given a deadline in the past first, which ends them.
 type yamuxSession struct {
 	session *yamux.Session
 	raw     net.Conn
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -36,7 +36,8 @@
 	Attaches atomic.Int64
 	// Replays counts answers that were returned from a run record instead of running the request again.
 	Replays atomic.Int64
-	// TargetCrashes counts crashes of targets of this host with requests in flight, Quarantined the requests that were quarantined at this node.
+	// TargetCrashes counts crashes of targets of this host with requests in flight, Quarantined the requests that were quarantined at this
+	// node.
 	TargetCrashes atomic.Int64
 	Quarantined   atomic.Int64
 	// ColdStarts counts the times that a target of this host became cold.
