State why control replicas did not store a departure

The logs could not tell a slow disk from a lost connection or a missing quorum: the node logged how many replicas had answered, as "departures stored", and the errors at debug level only.

Change: a departure that too few replicas have stored is logged as "departures not stored", a warning with the reason of each replica that did not count; so is a round of a process that restores. The result of a round is a value of its own.

It runs in virtual time, against five stubs of replicas.

--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -49,12 +49,14 @@
 		return nil
 	}
 	began := d.process.env.Clock.Now()
-	_, answered, voters := d.call(ctx, records)
-	d.process.env.Log.Info("departures stored", "departures", len(records), "target", records[0].GetName(), "version", records[0].GetVersion(),
-		"replicas", answered, "voters", voters, "took", d.process.env.Clock.Now().Sub(began))
-	if !majority(answered, voters) {
+	round := d.call(ctx, records)
+	fields := []any{"departures", len(records), "target", records[0].GetName(), "version", records[0].GetVersion(), "replicas", round.answered, "voters", round.voters,
+		"took", d.process.env.Clock.Now().Sub(began)}
+	if !round.complete() {
+		d.process.env.Log.Warn("departures not stored", append(fields, "failed", round.failures)...)
 		return ErrNotStored
 	}
+	d.process.env.Log.Info("departures stored", fields...)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range records {
@@ -93,13 +95,13 @@
 			}
 			continue
 		}
-		records, answered, voters := d.call(ctx, nil)
-		if majority(answered, voters) {
-			departed, results := p.local.Restore(p.env.Clock.Now(), records)
-			p.env.Log.Info("departures restored", "records", len(records), "departed", departed, "held", results, "replicas", answered, "voters", voters)
+		round := d.call(ctx, nil)
+		if round.complete() {
+			departed, results := p.local.Restore(p.env.Clock.Now(), round.records)
+			p.env.Log.Info("departures restored", "records", len(round.records), "departed", departed, "held", results, "replicas", round.answered, "voters", round.voters)
 			return
 		}
-		p.env.Log.Warn("departures not restored, reports are held back", "replicas", answered, "voters", voters)
+		p.env.Log.Warn("departures not restored, reports are held back", "replicas", round.answered, "voters", round.voters, "failed", round.failures)
 		// A new placement, as when a cluster has been founded, may bring the majority that was missing.
 		timer := time.NewTimer(delay)
 		select {
@@ -131,40 +133,57 @@
 	return replicas, len(replicas)
 }
 
-// call sends departures to all voting replicas and returns the records of those that answer, until a majority has. The other calls go on, so
-// that more replicas know.
-func (d *departures) call(ctx context.Context, departed []*apiv1.TargetRecord) (records []*apiv1.TargetRecord, answered, voters int) {
+// round is the result of one call to all voting replicas.
+type round struct {
+	records []*apiv1.TargetRecord
+	// answered counts the replicas that answered without an error. Of voters a majority must.
+	answered, voters int
+	// failures states why other replicas did not count. It is set if too few have answered.
+	failures []string
+}
+
+// complete reports whether a majority has answered.
+func (r *round) complete() bool { return majority(r.answered, r.voters) }
+
+// answer is that of one replica.
+type answer struct {
+	replica  string
+	response *apiv1.DepartureResponse
+	err      error
+}
+
+// call sends departures to all voting replicas, or asks them for those of this node, and waits until a majority has answered or all have failed. The
+// other calls go on, so that more replicas know.
+func (d *departures) call(ctx context.Context, departed []*apiv1.TargetRecord) *round {
 	p := d.process
 	request := &apiv1.DepartureRequest{Node: p.env.identity.Node, Departed: departed}
 	replicas, voters := votersOf(p.board.Placement.Load(), p.env.settings.MinVoters)
-	responses := make(chan *apiv1.DepartureResponse, len(replicas))
+	answers := make(chan answer, len(replicas))
 	for _, r := range replicas {
 		started := p.goCall(func() {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), departureTimeout)
 			defer cancel()
 			response, err := d.callReplica(ctx, r, request)
-			if err != nil {
-				p.env.Log.Debug("departures not exchanged", "replica", r.GetNode(), "err", err)
-				response = nil
-			}
-			responses <- response
+			answers <- answer{r.GetNode(), response, err}
 		})
 		if !started {
-			responses <- nil
+			answers <- answer{r.GetNode(), nil, peer.ErrClosed}
 		}
 	}
+	result := &round{voters: voters}
 	for range replicas {
-		response := <-responses
-		if response == nil {
+		a := <-answers
+		if a.err != nil {
+			result.failures = append(result.failures, a.replica+": "+a.err.Error())
 			continue
 		}
-		answered++
-		records = append(records, response.GetRecords()...)
-		if majority(answered, voters) {
+		result.answered++
+		result.records = append(result.records, a.response.GetRecords()...)
+		if result.complete() {
 			break
 		}
 	}
-	return records, answered, voters
+	return result
 }
 
 // callReplica calls one replica, which may be that of this process.
@@ -174,5 +193,9 @@
 		return p.replica.Departures(ctx, request)
 	}
 	response := &apiv1.DepartureResponse{}
-	return response, peer.Unary(ctx, p.pool, r.GetAddress(), apiv1.Method_METHOD_DEPARTURES, request, response)
+	err := peer.Unary(ctx, p.pool, r.GetAddress(), apiv1.Method_METHOD_DEPARTURES, request, response)
+	if err != nil {
+		p.env.Log.Debug("departures not exchanged", "replica", r.GetNode(), "err", err)
+	}
+	return response, err
 }
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -1,14 +1,25 @@
 package node
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/blackboard"
+	"github.com/guavaford/guavaford/internal/board"
+	"github.com/guavaford/guavaford/internal/clock"
+	"github.com/guavaford/guavaford/internal/memnet"
+	"github.com/guavaford/guavaford/internal/peer"
+	"github.com/guavaford/guavaford/internal/registry"
+	"github.com/guavaford/guavaford/internal/settings"
+	"github.com/guavaford/guavaford/internal/telemetry"
 )
 
 // leave makes a target leave that the node has not heard of.
@@ -79,3 +90,74 @@
 	require.False(t, majority(2, 5))
 	require.True(t, majority(3, 5))
 }
+
+// maxConfirmation is how long a target waits for the answer to a call.
+const maxConfirmation = time.Second
+
+// replicaStub stores departures in place of a control replica.
+type replicaStub struct {
+	// storeTime is how long it takes to store a departure.
+	storeTime time.Duration
+	// failsUntil is the time after the start of the test until which calls fail at once.
+	failsUntil time.Duration
+}
+
+// confirmWithReplicas has a target leave at a node whose five voters are the stubs, and returns the result, how long it took and the log.
+func confirmWithReplicas(t *testing.T, stubs []replicaStub) (err error, took time.Duration, log string) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(1)
+		defer network.Close()
+		began := time.Now()
+		placement := &apiv1.Placement{Revision: 1}
+		for i, stub := range stubs {
+			name := "control-" + string(rune('1'+i))
+			server := peer.NewServer(peer.Identity{Node: name, Incarnation: 1}, peer.ServerOptions{})
+			defer server.Close()
+			peer.HandleUnary(server, apiv1.Method_METHOD_DEPARTURES, func() *apiv1.DepartureRequest { return &apiv1.DepartureRequest{} },
+				func(ctx context.Context, _ peer.Identity, _ *apiv1.DepartureRequest) (*apiv1.DepartureResponse, error) {
+					if time.Since(began) < stub.failsUntil {
+						return nil, errors.New("no quorum")
+					}
+					if !clock.Sleep(ctx, stub.storeTime) {
+						return nil, ctx.Err()
+					}
+					return &apiv1.DepartureResponse{}, nil
+				})
+			placement.Replicas = append(placement.Replicas, &apiv1.ReplicaInfo{Id: uint64(i + 1), Node: name, Address: name})
+			listener, listenErr := network.Host(name).Listen(name)
+			require.NoError(t, listenErr)
+			go func() { _ = server.Serve(listener) }()
+		}
+		var lines lockedBuffer
+		logger, logErr := telemetry.NewLogger(&lines, "info")
+		require.NoError(t, logErr)
+		identity := peer.Identity{Node: "sidecar-1", Incarnation: 1}
+		p := &Process{
+			env:   environment{Dependencies: Dependencies{Log: logger}.withDefaults(), settings: settings.Default(), identity: identity},
+			pool:  peer.NewPool(identity, network.Host(identity.Node), peer.PoolOptions{}),
+			board: &board.Board{Placement: blackboard.NewSection(placement)},
+			local: registry.NewLocal(registry.LocalOptions{}),
+		}
+		p.departures = newDepartures(p)
+		defer p.running.Wait()
+		defer p.pool.Close()
+		leave(p, "target")
+		start := time.Now()
+		err = p.ConfirmDepartures(t.Context())
+		took, log = time.Since(start), lines.String()
+	})
+	return err, took, log
+}
+
+// TestRefusedDepartureStatesWhy guards against a departure whose refusal can't be traced: the log named the number of replicas that had stored it, and
+// not why the others had not.
+func TestRefusedDepartureStatesWhy(t *testing.T) {
+	stubs := []replicaStub{{failsUntil: time.Minute}, {storeTime: time.Minute}, {storeTime: time.Minute}, {}, {}}
+	err, took, log := confirmWithReplicas(t, stubs)
+	require.ErrorIs(t, err, ErrNotStored)
+	require.Less(t, took, maxConfirmation, "the target must get its 503 while it waits")
+	require.Contains(t, log, "departures not stored")
+	require.Contains(t, log, "control-1: ")
+	require.Contains(t, log, "no quorum")
+	require.Contains(t, log, "control-2: ")
+}
