Wait for replicas with slow disks as long as a target waits

Cause: a target waits a second for the confirmation, and the node gave its replicas 0.6 s of it.

Change: nodes wait 0.9 s. Replicas that may have lost departures fetch them 0.4 s after that, as before: what a lost disk had acknowledged is then at a majority or never confirmed. A process that restores asks in rounds of 0.6 s as before. vfs.Mem has disks whose syncs take a time, one after another.

--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -12,6 +12,9 @@
 	"github.com/guavaford/guavaford/internal/peer"
 )
 
+// DepartureTimeout is how long a node waits for replicas to store a departure.
+const DepartureTimeout = 900 * time.Millisecond
+
 const (
 	// departureCheckInterval is the time between two checks whether departures have to be fetched.
 	departureCheckInterval = 100 * time.Millisecond
@@ -20,9 +23,9 @@
 	// departureFetchTimeout bounds one round of fetching departures from the other voters.
 	departureFetchTimeout = 600 * time.Millisecond
 	// departureFetchDelay is the time from the start of a process, or from when the replica became a voter, until it fetches departures. It is longer
-	// than a node waits for its confirmation (600 ms): a departure that the replica acknowledged before it lost its disk, or that was sent to the former
+	// than a node waits for its confirmation: a departure that the replica acknowledged before it lost its disk, or that was sent to the former
 	// voters, is then at a majority, or is never confirmed.
-	departureFetchDelay = time.Second
+	departureFetchDelay = DepartureTimeout + 400*time.Millisecond
 )
 
 // Reasons why a replica doesn't count for a departure.
--- a/internal/departure/store_test.go
+++ b/internal/departure/store_test.go
@@ -21,7 +21,7 @@
 
 var identity = &apiv1.ReplicaIdentity{Replica: 7, Cluster: 9, Node: "kl-1"}
 
-// confirmationTimeout is how long a node waits for replicas to store a departure.
+// confirmationTimeout is how long calls wait in these tests; nodes wait longer.
 const confirmationTimeout = 600 * time.Millisecond
 
 func open(t *testing.T, fsys vfs.FS, now time.Time) *Store {
--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -8,12 +8,15 @@
 	"github.com/pkg/errors"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/control"
 	"github.com/guavaford/guavaford/internal/peer"
 )
 
 const (
-	// departureTimeout bounds one round of calls to the control replicas. Targets wait a second for a confirmation.
-	departureTimeout = 600 * time.Millisecond
+	// confirmTimeout bounds the time in which the control replicas must store a departure. Targets wait a second for the confirmation.
+	confirmTimeout = control.DepartureTimeout
+	// restoreTimeout bounds one round of questions to the control replicas, so that a process that has just started soon asks again.
+	restoreTimeout = 600 * time.Millisecond
 	// restoreRetryDelay and maxRestoreRetryDelay are the shortest and the longest time between two rounds of a process that has just started. Each
 	// round doubles it: while a cluster is founded, all its nodes ask.
 	restoreRetryDelay    = 100 * time.Millisecond
@@ -49,7 +52,7 @@
 		return nil
 	}
 	began := d.process.env.Clock.Now()
-	round := d.call(ctx, records)
+	round := d.call(ctx, records, confirmTimeout)
 	fields := []any{"departures", len(records), "target", records[0].GetName(), "version", records[0].GetVersion(), "replicas", round.answered, "voters", round.voters,
 		"took", d.process.env.Clock.Now().Sub(began)}
 	if !round.complete() {
@@ -95,7 +98,7 @@
 			}
 			continue
 		}
-		round := d.call(ctx, nil)
+		round := d.call(ctx, nil, restoreTimeout)
 		if round.complete() {
 			departed, results := p.local.Restore(p.env.Clock.Now(), round.records)
 			p.env.Log.Info("departures restored", "records", len(round.records), "departed", departed, "held", results, "replicas", round.answered, "voters", round.voters)
@@ -153,15 +156,15 @@
 }
 
 // call sends departures to all voting replicas, or asks them for those of this node, and waits until a majority has answered or all have failed. The
-// other calls go on, so that more replicas know.
-func (d *departures) call(ctx context.Context, departed []*apiv1.TargetRecord) *round {
+// other calls go on within the limit, so that more replicas know.
+func (d *departures) call(ctx context.Context, departed []*apiv1.TargetRecord, limit time.Duration) *round {
 	p := d.process
 	request := &apiv1.DepartureRequest{Node: p.env.identity.Node, Departed: departed}
 	replicas, voters := votersOf(p.board.Placement.Load(), p.env.settings.MinVoters)
 	answers := make(chan answer, len(replicas))
 	for _, r := range replicas {
 		started := p.goCall(func() {
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), departureTimeout)
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 			defer cancel()
 			response, err := d.callReplica(ctx, r, request)
 			answers <- answer{r.GetNode(), response, err}
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -58,7 +58,7 @@
 	leave(p, "after")
 	began := time.Now()
 	require.ErrorIs(t, p.ConfirmDepartures(t.Context()), ErrNotStored)
-	require.Less(t, time.Since(began), departureTimeout)
+	require.Less(t, time.Since(began), confirmTimeout)
 	require.Equal(t, before, strings.Count(logs.String(), "departures not exchanged"), "a call was started after the process had closed")
 }
 
@@ -161,3 +161,30 @@
 	require.Contains(t, log, "no quorum")
 	require.Contains(t, log, "control-2: ")
 }
+
+// TestDepartureIsConfirmedWhileItsTargetWaits guards against targets that get 503 for their departure although a majority of the replicas stores it while they
+// wait: replicas with slow disks were given up too early.
+func TestDepartureIsConfirmedWhileItsTargetWaits(t *testing.T) {
+	const voters = 5
+	for _, c := range []struct {
+		name   string
+		stub   replicaStub
+		number int
+		within time.Duration
+	}{
+		{"a minority that never answers", replicaStub{storeTime: time.Minute}, 2, 100 * time.Millisecond},
+		{"disks that take 200 ms", replicaStub{storeTime: 200 * time.Millisecond}, 3, 300 * time.Millisecond},
+		{"disks that take 700 ms", replicaStub{storeTime: 700 * time.Millisecond}, 3, 800 * time.Millisecond},
+		{"all disks take 700 ms", replicaStub{storeTime: 700 * time.Millisecond}, voters, 800 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			stubs := make([]replicaStub, voters)
+			for i := range c.number {
+				stubs[i] = c.stub
+			}
+			err, took, log := confirmWithReplicas(t, stubs)
+			require.NoError(t, err, log)
+			require.Less(t, took, c.within)
+		})
+	}
+}
--- a/internal/vfs/mem.go
+++ b/internal/vfs/mem.go
@@ -8,6 +8,7 @@
 	"sort"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -22,6 +23,8 @@
 	durable map[string]*inode // files by path, as they are found after a crash
 	locks   map[string]bool
 	faults  Faults
+	// syncing is held by the sync that the disk does now, if syncs take time.
+	syncing chan struct{}
 	used    int64 // bytes in use, compared with Faults.Capacity
 	steps   int   // durable steps since SetFaults
 	crashed bool
@@ -36,6 +39,8 @@
 	CrashAfter bool
 	// Capacity is the size of the disk in bytes; 0 means unlimited.
 	Capacity int64
+	// SyncTime is how long the sync of a file or folder takes. The disk does one at a time.
+	SyncTime time.Duration
 }
 
 // inode is the data of one file.
@@ -47,7 +52,7 @@
 
 // NewMem returns an empty file system.
 func NewMem() *Mem {
-	return &Mem{current: map[string]*inode{}, durable: map[string]*inode{}, locks: map[string]bool{}}
+	return &Mem{current: map[string]*inode{}, durable: map[string]*inode{}, locks: map[string]bool{}, syncing: make(chan struct{}, 1)}
 }
 
 // Used returns the number of bytes in all files.
@@ -290,8 +295,21 @@
 	return names, nil
 }
 
+// awaitSync waits as long as a sync takes.
+func (m *Mem) awaitSync() {
+	m.mu.Lock()
+	took := m.faults.SyncTime
+	m.mu.Unlock()
+	if took > 0 {
+		m.syncing <- struct{}{}
+		time.Sleep(took)
+		<-m.syncing
+	}
+}
+
 // SyncDir makes the names in a folder durable.
 func (m *Mem) SyncDir(dir string) error {
+	m.awaitSync()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	effective, err := m.durableStep()
@@ -365,6 +383,7 @@
 
 // Sync makes the data of the file durable.
 func (f *memFile) Sync() error {
+	f.fs.awaitSync()
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	effective, err := f.fs.durableStep()
--- a/internal/vfs/vfs.go
+++ b/internal/vfs/vfs.go
@@ -2,7 +2,7 @@
 //
 // FS has only the operations that the write-ahead log and small state files need. OS implements
 // them with the operating system's files. Mem implements them in memory and injects faults for
-// tests: a crash at any sync or rename, the loss of unsynced data, a full disk.
+// tests: a crash at any sync or rename, the loss of unsynced data, a full disk, a slow one.
 //
 // Callers can rely on these guarantees and no others:
 //
--- a/internal/vfs/vfs_test.go
+++ b/internal/vfs/vfs_test.go
@@ -5,8 +5,11 @@
 	"io/fs"
 	"math/rand/v2"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -120,3 +123,25 @@
 		require.True(t, seen[kept], "%q does not occur: %q", kept, seen)
 	}
 }
+
+// TestSlowSync guards against a fault layer whose slow disk does several syncs at a time: a sync must wait for those before it, of other files too.
+func TestSlowSync(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMem()
+		a, err := m.Create("d/a")
+		require.NoError(t, err)
+		b, err := m.Create("d/b")
+		require.NoError(t, err)
+		m.SetFaults(Faults{SyncTime: time.Second})
+		began := time.Now()
+		var syncs sync.WaitGroup
+		syncs.Go(func() { require.NoError(t, a.Sync()) })
+		syncs.Go(func() { require.NoError(t, b.Sync()) })
+		syncs.Go(func() { require.NoError(t, m.SyncDir("d")) })
+		syncs.Wait()
+		require.Equal(t, 3*time.Second, time.Since(began))
+		m.SetFaults(Faults{})
+		require.NoError(t, a.Sync())
+		require.Equal(t, 3*time.Second, time.Since(began))
+	})
+}
