--- a/internal/control/frozen_test.go
+++ b/internal/control/frozen_test.go
@@ -55,6 +55,16 @@
 	{"receives nothing from replicas", func(c *cluster, lost, replicas, _ []string) { c.blockAll(replicas, lost) }},
 	{"sends nothing to nodes", func(c *cluster, lost, _, nodes []string) { c.blockAll(lost, nodes) }},
 	{"receives nothing from nodes", func(c *cluster, lost, _, nodes []string) { c.blockAll(nodes, lost) }},
+	{"disk takes 200 ms", func(c *cluster, lost, _, _ []string) { c.slowDisks(lost, 200*time.Millisecond) }},
+	{"disk takes 700 ms", func(c *cluster, lost, _, _ []string) { c.slowDisks(lost, 700*time.Millisecond) }},
+	{"disk hangs", func(c *cluster, lost, _, _ []string) { c.slowDisks(lost, lossTime) }},
+}
+
+// slowDisks sets how long a sync takes at some hosts.
+func (c *cluster) slowDisks(names []string, syncTime time.Duration) {
+	for _, name := range names {
+		c.hosts[name].fs.SetFaults(vfs.Faults{SyncTime: syncTime})
+	}
 }
 
 // blockAll blocks the direction from each host of one side to each of the other.
@@ -86,7 +96,10 @@
 						time.AfterFunc(lossBegins-time.Since(nodes.began), func() {
 							loss.apply(c, lost, c.others(lost...), nodes.names)
 						})
-						time.AfterFunc(lossBegins+lossTime-time.Since(nodes.began), c.net.Heal)
+						time.AfterFunc(lossBegins+lossTime-time.Since(nodes.began), func() {
+							c.net.Heal()
+							c.slowDisks(lost, 0)
+						})
 						nodes.changeUntil(c, c.other(lost...), lossBegins-quiet)
 						time.Sleep(time.Until(nodes.began.Add(lossBegins)))
 						nodes.changeUntil(c, c.other(lost...), lossBegins+lossTime+2*time.Second)
