Call replicas that failed again while a target waits

Callers saw: a target that leaves was answered 503 at once when the calls to a majority of the control replicas failed, as when connections are lost beside much load, although the replicas answered again within the second for which the target waits.

Cause: a node called each replica once for a departure.

Evidence: TestDepartureIsConfirmedWhileItsTargetWaits on the commit before: refused at once when calls fail for 400 ms, and when replicas accept connections from 300 ms on; 3 and 5 of 5 replicas.

Change: a replica that has failed is called again after 0.1 s, as long as the node waits for it. The calls are idempotent. A process that is closed calls nothing again.

Tests that failed before: the four further cases of TestDepartureIsConfirmedWhileItsTargetWaits.

--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	apiv1 "github.com/guavaford/guavaford/api/guavaford/v1"
+	"github.com/guavaford/guavaford/internal/clock"
 	"github.com/guavaford/guavaford/internal/control"
 	"github.com/guavaford/guavaford/internal/peer"
 )
@@ -17,6 +18,8 @@
 	confirmTimeout = control.DepartureTimeout
 	// restoreTimeout bounds one round of questions to the control replicas, so that a process that has just started soon asks again.
 	restoreTimeout = 600 * time.Millisecond
+	// replicaRetryDelay is the time until a replica that has failed is called again within a round.
+	replicaRetryDelay = 100 * time.Millisecond
 	// restoreRetryDelay and maxRestoreRetryDelay are the shortest and the longest time between two rounds of a process that has just started. Each
 	// round doubles it: while a cluster is founded, all its nodes ask.
 	restoreRetryDelay    = 100 * time.Millisecond
@@ -156,7 +159,8 @@
 }
 
 // call sends departures to all voting replicas, or asks them for those of this node, and waits until a majority has answered or all have failed. The
-// other calls go on within the limit, so that more replicas know.
+// other calls go on within the limit, so that more replicas know. A replica that has not stored a departure is called again within the limit; a process
+// that restores asks them all again, with growing delays.
 func (d *departures) call(ctx context.Context, departed []*apiv1.TargetRecord, limit time.Duration) *round {
 	p := d.process
 	request := &apiv1.DepartureRequest{Node: p.env.identity.Node, Departed: departed}
@@ -167,6 +171,13 @@
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 			defer cancel()
 			response, err := d.callReplica(ctx, r, request)
+			for err != nil && len(departed) > 0 && d.awaitRetry(ctx) {
+				again, retryErr := d.callReplica(ctx, r, request)
+				if retryErr != nil && ctx.Err() != nil {
+					break // the former error says more than that the time is over
+				}
+				response, err = again, retryErr
+			}
 			answers <- answer{r.GetNode(), response, err}
 		})
 		if !started {
@@ -189,6 +200,12 @@
 	return result
 }
 
+// awaitRetry waits until a replica that has not stored a departure may be called again: a lost connection must not cost the target its confirmation while
+// there is time. It returns false once the context or the process has ended.
+func (d *departures) awaitRetry(ctx context.Context) bool {
+	return clock.Sleep(ctx, replicaRetryDelay) && !d.process.closed()
+}
+
 // callReplica calls one replica, which may be that of this process.
 func (d *departures) callReplica(ctx context.Context, r *apiv1.ReplicaInfo, request *apiv1.DepartureRequest) (*apiv1.DepartureResponse, error) {
 	p := d.process
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -100,6 +100,8 @@
 	storeTime time.Duration
 	// failsUntil is the time after the start of the test until which calls fail at once.
 	failsUntil time.Duration
+	// listensFrom is the time after the start of the test from which it accepts connections.
+	listensFrom time.Duration
 }
 
 // confirmWithReplicas has a target leave at a node whose five voters are the stubs, and returns the result, how long it took and the log.
@@ -124,9 +126,16 @@
 					return &apiv1.DepartureResponse{}, nil
 				})
 			placement.Replicas = append(placement.Replicas, &apiv1.ReplicaInfo{Id: uint64(i + 1), Node: name, Address: name})
-			listener, listenErr := network.Host(name).Listen(name)
-			require.NoError(t, listenErr)
-			go func() { _ = server.Serve(listener) }()
+			listen := func() {
+				if listener, err := network.Host(name).Listen(name); err == nil {
+					go func() { _ = server.Serve(listener) }()
+				}
+			}
+			if stub.listensFrom == 0 {
+				listen()
+			} else {
+				defer time.AfterFunc(stub.listensFrom, listen).Stop()
+			}
 		}
 		var lines lockedBuffer
 		logger, logErr := telemetry.NewLogger(&lines, "info")
@@ -163,7 +172,7 @@
 }
 
 // TestDepartureIsConfirmedWhileItsTargetWaits guards against targets that get 503 for their departure although a majority of the replicas stores it while they
-// wait: replicas with slow disks were given up too early.
+// wait: replicas with slow disks were given up too early, and replicas that failed at first, as when connections are lost, were not called again.
 func TestDepartureIsConfirmedWhileItsTargetWaits(t *testing.T) {
 	const voters = 5
 	for _, c := range []struct {
@@ -176,6 +185,10 @@
 		{"disks that take 200 ms", replicaStub{storeTime: 200 * time.Millisecond}, 3, 300 * time.Millisecond},
 		{"disks that take 700 ms", replicaStub{storeTime: 700 * time.Millisecond}, 3, 800 * time.Millisecond},
 		{"all disks take 700 ms", replicaStub{storeTime: 700 * time.Millisecond}, voters, 800 * time.Millisecond},
+		{"calls that fail at first", replicaStub{failsUntil: 400 * time.Millisecond}, 3, 600 * time.Millisecond},
+		{"all calls fail at first", replicaStub{failsUntil: 400 * time.Millisecond}, voters, 600 * time.Millisecond},
+		{"replicas that start meanwhile", replicaStub{listensFrom: 300 * time.Millisecond}, 3, maxConfirmation},
+		{"all replicas start meanwhile", replicaStub{listensFrom: 300 * time.Millisecond}, voters, maxConfirmation},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			stubs := make([]replicaStub, voters)
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -96,6 +96,13 @@
 	p.running.Wait()
 }
 
+// closed reports whether goCall runs nothing any more.
+func (p *Process) closed() bool {
+	p.callsMu.Lock()
+	defer p.callsMu.Unlock()
+	return p.noCalls
+}
+
 // goCall runs a call to another node in a goroutine that Close waits for. Once that wait has begun it runs nothing and returns false: requests of targets
 // and operators may still be running then, and a WaitGroup that is waited for must not grow from zero.
 func (p *Process) goCall(call func()) bool {
