--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -105,7 +105,7 @@
 }
 
 // confirmWithReplicas has a target leave at a node whose five voters are the stubs, and returns the result, how long it took and the log.
-func confirmWithReplicas(t *testing.T, stubs []replicaStub) (err error, took time.Duration, log string) {
+func confirmWithReplicas(t *testing.T, stubs []replicaStub) (took time.Duration, log string, err error) {
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.New(1)
 		defer network.Close()
@@ -155,14 +155,14 @@
 		err = p.ConfirmDepartures(t.Context())
 		took, log = time.Since(start), lines.String()
 	})
-	return err, took, log
+	return took, log, err
 }
 
 // TestRefusedDepartureStatesWhy guards against a departure whose refusal can't be traced: the log named the number of replicas that had stored it, and
 // not why the others had not.
 func TestRefusedDepartureStatesWhy(t *testing.T) {
 	stubs := []replicaStub{{failsUntil: time.Minute}, {storeTime: time.Minute}, {storeTime: time.Minute}, {}, {}}
-	err, took, log := confirmWithReplicas(t, stubs)
+	took, log, err := confirmWithReplicas(t, stubs)
 	require.ErrorIs(t, err, ErrNotStored)
 	require.Less(t, took, maxConfirmation, "the target must get its 503 while it waits")
 	require.Contains(t, log, "departures not stored")
@@ -195,7 +195,7 @@
 			for i := range c.number {
 				stubs[i] = c.stub
 			}
-			err, took, log := confirmWithReplicas(t, stubs)
+			took, log, err := confirmWithReplicas(t, stubs)
 			require.NoError(t, err, log)
 			require.Less(t, took, c.within)
 		})
