upstream: report resets whose error a write has taken

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still written. The caller got that part as the whole answer.

Cause: the system reports a reset once. If the goroutine that writes the request takes the error, the next read returns no bytes and no error, as at the proper end of a body that ends with its connection.

Change: connections to targets remember the first error that a write got from the system. At the end of the input the reader looks at the state of the connection. CLOSE_WAIT means that the target has ended its answer. Otherwise the connection is closed in both directions: a write under way returns at once, and the reader waits for that and for nothing else. It returns the error that a write has taken, unless that is EPIPE, which is what a reset after the end of the answer gives. The check stands below both clients, so that it holds for each framing, and there is no order of events in which it misses a reset: the write that took the error has it on record before it releases its lock.

Where else a write may hide the end of what is read: between nodes a body has a last frame with length and checksum, and requests of callers have a length or a last chunk, so an end before that is an error there already.

--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -345,7 +345,7 @@
 // targetTransport returns the HTTP client side towards targets.
 func targetTransport() http.RoundTripper {
 	return probingTransport{&http.Transport{
-		DialContext:            targetDialer().DialContext,
+		DialContext:            upstream.Dialer(targetDialer().DialContext),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    targetIdleConns,
 		IdleConnTimeout:        targetIdleTimeout,
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, dialError(err)
 	}
-	c := &conn{Conn: raw, address: address, idleTime: defaultIdle}
+	c := &conn{Conn: reportResets(raw), address: address, idleTime: defaultIdle}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
 }
