upstream: read the answer of a target that closes early to its end

Callers saw: a target answered a long upload early, ended its answer properly and closed the connection with the rest of the upload unread, as servers do with a request that they refuse. When the reader was a little late the answer broke off, although all of it had arrived: 502, or a cut stream.

Cause: the failure of a write ended the exchange. Transport set a deadline in the past on the connection, and http.Transport closes a connection on which a write fails.

Change: after a write has failed because the target has closed the connection, the answer is read on. Reads can't wait then: what has arrived is followed by the end or the error. A write of http.Transport's connections returns that error only after the connection is closed, which its reader does after the answer, or the request's context. Other errors of a write, and a body that the caller does not send to its end, end the exchange as before.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -168,12 +168,12 @@
 	}
 }
 
-// sendBody sends the body. An error ends the exchange.
+// sendBody sends the body. An error ends the exchange, unless the target has closed the connection: it may have answered before.
 func (x *exchange) sendBody() {
 	defer close(x.sent)
 	defer closeBody(x.request)
 	x.sendErr = x.copyBody()
-	if x.sendErr != nil {
+	if x.sendErr != nil && !x.conn.closedByTarget() {
 		// The target waits for the rest of the body, so no response would come.
 		_ = x.conn.SetDeadline(time.Unix(1, 0))
 	}
--- a/internal/upstream/reset.go
+++ b/internal/upstream/reset.go
@@ -60,6 +60,14 @@
 	return n, err
 }
 
+// closedByTarget reports whether a write has found that the other side has closed the connection. What has arrived can be read nevertheless,
+// and reads do not wait for more.
+func (c *resetConn) closedByTarget() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.broken == syscall.EPIPE || c.broken == syscall.ECONNRESET
+}
+
 // brokenBy returns the error by which the connection ended before the other side had ended what it sends, or 0.
 func (c *resetConn) brokenBy() syscall.Errno {
 	if awaitsClose(c.raw) {
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -149,6 +149,12 @@
 	return n, err
 }
 
+// closedByTarget reports whether a write has found that the target has closed the connection.
+func (c *conn) closedByTarget() bool {
+	r, ok := c.Conn.(*resetConn)
+	return ok && r.closedByTarget()
+}
+
 // dialError returns err as a *net.OpError of the operation dial, which tells the caller that nothing was sent.
 func dialError(err error) error {
 	var op *net.OpError
