upstream: refuse heads with names that are none, and folded lines

Callers saw: a target in trouble sent an answer in whose head the name of a field held a blank. They got it as a success, with that line passed on, or with a body that was not the target's: "Content-Length : 4" counted for nothing, "Transfer-Encoding : chunked" left the sizes of the chunks in the body. A line that began with a blank or a tab came appended to the value before it, which may be the signature.

Cause: the parser of net/http, which both clients use, accepts blanks in names and leaves such names as they are, so that fields for framing and those of one hop are not seen as such. It joins folded lines to the value before them. After it has parsed a head, a folded line can't be told from a value.

Change: heads are checked byte by byte as they arrive, below both parsers, up to the end of the final head, interim responses included: a name is a token, and no line begins with a blank. The first fault ends the exchange with an InvalidAnswerError and its connection, as an invalid status does. Transport checks bytes that have arrived behind a late response too. http.Transport's connections are told at each request that an answer follows. Names in trailers are checked at the end of the body. Folded lines of trailers are left alone: trailers are not passed on. The gate counts and logs each fault with its byte.

--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -160,12 +160,17 @@
 	return nil, refusal
 }
 
-// observeInvalid counts and logs an answer with an invalid status, and states the reason in the refusal. The target has not crashed.
+// observeInvalid records an invalid answer and states the reason in the refusal. The target has not crashed.
 func (x *execution) observeInvalid(err *upstream.InvalidAnswerError, refusal *outcome.Refusal) {
-	x.gate.opts.Metrics.InvalidAnswers.Add(1)
 	if refusal.Code == outcome.TargetFailed {
 		refusal.Detail = "the target sent an " + err.Error()
 	}
+	x.recordInvalid(err)
+}
+
+// recordInvalid counts and logs an invalid answer.
+func (x *execution) recordInvalid(err *upstream.InvalidAnswerError) {
+	x.gate.opts.Metrics.InvalidAnswers.Add(1)
 	x.logNotice("invalid answer of the target", "reason", err.Reason)
 }
 
@@ -278,6 +283,10 @@
 // brokeOff handles a body that the target did not send to its end.
 func (x *execution) brokeOff(err error) {
 	x.answered = false
+	if invalid := (*upstream.InvalidAnswerError)(nil); errors.As(err, &invalid) {
+		x.recordInvalid(invalid)
+		return
+	}
 	x.suspect = x.observeBreak(x.running.Context, err)
 }
 
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -321,26 +321,34 @@
 	return upstream.Probe(ctx, t.DialContext, address)
 }
 
+// RoundTrip implements http.RoundTripper.
+func (t probingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.RoundTripIf(r, func() bool { return true })
+}
+
 // RoundTripIf is like RoundTrip, but asks once it has a connection whether the request may be sent. If not, it closes that connection:
 // http.Transport writes the request in any case, which then fails before its first byte.
 func (t probingTransport) RoundTripIf(r *http.Request, mayBegin func() bool) (*http.Response, error) {
 	var last net.Conn
 	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
 		last = got.Conn
+		upstream.ExpectAnswer(last)
 		if !mayBegin() {
 			_ = last.Close()
 		}
 	}}
-	response, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
-		return nil, err
+		return nil, upstream.AnswerError(last, err)
 	}
+	// http.Transport keeps the connections of some answers that are not accepted, as of one with status 999 and no body.
+	closeLast := func() { _ = last.Close() }
 	if err = upstream.CheckStatus(response.StatusCode); err != nil {
-		// http.Transport keeps the connection of a status like 999 without a body for another request.
-		_ = last.Close()
+		closeLast()
 		_ = response.Body.Close()
 		return nil, err
 	}
+	upstream.CheckTrailer(response, closeLast)
 	return response, nil
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -22,7 +22,7 @@
 	MovedAttempts atomic.Int64
 	// Withdrawn counts requests that left a target of this host as it drained, before they were sent to it.
 	Withdrawn atomic.Int64
-	// InvalidAnswers counts answers of targets of this host that ended their exchange by an invalid status.
+	// InvalidAnswers counts answers of targets of this host that ended their exchange by an invalid status or field.
 	InvalidAnswers atomic.Int64
 	// MovedCalls counts calls that were sent to another target since the first had a queue while others had room.
 	MovedCalls atomic.Int64
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -39,15 +39,14 @@
 		return nil, errors.Wrap(err, "send request")
 	}
 	for range maxLateResponses {
-		x.conn.limitHead(true)
-		response, err := x.read()
-		x.conn.limitHead(false)
+		response, err := x.readHead()
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		CheckTrailer(response, nil)
 		if !x.matches(response) {
-			if _, err := io.CopyN(io.Discard, response.Body, maxLateBody); err != io.EOF {
-				return nil, ErrMismatchedResponse
+			if err := discardLate(response); err != nil {
+				return nil, err
 			}
 			continue
 		}
@@ -60,12 +59,38 @@
 	return nil, ErrMismatchedResponse
 }
 
+// discardLate reads the body of a response to another request.
+func discardLate(r *http.Response) error {
+	_, err := io.CopyN(io.Discard, r.Body, maxLateBody)
+	if invalid := (*InvalidAnswerError)(nil); errors.As(err, &invalid) {
+		return err
+	}
+	if err != io.EOF {
+		return ErrMismatchedResponse
+	}
+	return nil
+}
+
 // reusable reports whether the connection can carry another request after a response: the response must have an end of
 // its own, and the target must not close the connection.
 func reusable(r *http.Response) bool {
 	return !r.Close && r.ProtoAtLeast(1, 1) && (r.ContentLength >= 0 || len(r.TransferEncoding) > 0)
 }
 
+// readHead reads and checks the head of the next response.
+func (x *exchange) readHead() (*http.Response, error) {
+	if err := x.conn.beginHead(); err != nil {
+		return nil, err
+	}
+	defer x.conn.endHead()
+	response, err := x.read()
+	if fault := x.conn.head.fault; fault != nil {
+		// The parser may have taken the start of the line at fault for all of it.
+		return nil, fault
+	}
+	return response, err
+}
+
 // read reads the head of the next response and skips interim responses (1xx).
 func (x *exchange) read() (*http.Response, error) {
 	for range maxInterim + 1 {
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -67,6 +67,7 @@
 	// headLeft is the number of bytes that may still be read while readingHead is set.
 	headLeft    int
 	readingHead bool
+	head        headChecker
 	// reuseUntil is when the connection has been idle for too long to be reused.
 	reuseUntil time.Time
 	// used is set once the connection has carried a whole exchange.
@@ -131,21 +132,36 @@
 	return c, nil
 }
 
-// limitHead begins or ends the reading of a head, which is limited to maxHead bytes.
-func (c *conn) limitHead(reading bool) {
-	c.readingHead, c.headLeft = reading, maxHead
+// beginHead begins the reading of a head, which is limited to maxHead bytes and checked. Its start may have arrived behind the response before.
+func (c *conn) beginHead() error {
+	c.readingHead, c.headLeft = true, maxHead
+	c.head.begin()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if _, fault := c.head.check(buffered); fault != nil {
+		return fault
+	}
+	return nil
 }
 
-// Read reads from the target. While a head is read, it fails once the limit is reached.
+// endHead ends the reading of a head.
+func (c *conn) endHead() { c.readingHead = false }
+
+// Read reads from the target. While a head is read, it fails once the limit is reached or the head is invalid.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.readingHead {
 		return c.Conn.Read(p)
 	}
+	if c.head.fault != nil {
+		return 0, c.head.fault
+	}
 	if c.headLeft <= 0 {
 		return 0, ErrHeadTooLong
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	if valid, fault := c.head.check(p[:n]); fault != nil {
+		return valid, fault
+	}
 	return n, err
 }
 
