gate: wait in a test for the line that follows the refusals

Cause: a target that drains releases its queued requests first, then they are counted and logged. In this case that happens on the goroutine of the answer, while the test has its refusals already and reads the log.

Change: the test waits for the same line. The product is unchanged: refusals need not wait for their log line.

--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -146,7 +147,10 @@
 				requireLeft(t, answers)
 			}
 			require.Equal(t, apiv1.CallState_CALL_STATE_FENCED, h.gate.Fence(booking.Key), "the booking never runs here")
-			require.Contains(t, h.log.String(), `msg="requests leave a target that drains" target=t1 service=s queued=2 unsent=0`)
+			// The requests leave before they are counted and logged.
+			require.Eventually(t, func() bool {
+				return strings.Contains(h.log.String(), `msg="requests leave a target that drains" target=t1 service=s queued=2 unsent=0`)
+			}, 5*time.Second, time.Millisecond)
 			require.EqualValues(t, 2, h.metrics.Withdrawn.Load())
 			h.release()
 			read(t, <-first)
