fleet: read the injected faults of a test under their lock

Cause: the message reads the field without the lock that guards it. The message is formed for each booking that was refused, whether or not the check fails.

Change: it takes a copy under the lock. The checks are unchanged, and so is the product.

--- a/internal/fleet/chaos_test.go
+++ b/internal/fleet/chaos_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -108,6 +109,12 @@
 	return r.booked
 }
 
+func (r *observations) injected() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.faults)
+}
+
 func (r *observations) add(to *[]string, what string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -193,7 +200,7 @@
 		r.booked++
 		r.mu.Unlock()
 	case reply.Ran == outcome.RanNo:
-		assert.Zero(s.t, s.Executions.Count(run), "%s ran although it was refused as not run: %v, faults %v", path, reply, r.faults)
+		assert.Zero(s.t, s.Executions.Count(run), "%s ran although it was refused as not run: %v, faults %v", path, reply, r.injected())
 		// It must not run later either, so the count is checked again after 2 s.
 		time.AfterFunc(2*time.Second, func() {
 			assert.Zero(s.t, s.Executions.Count(run), "%s ran after it was refused as not run", path)
